--- /dev/null
+++ b/src/base/log.cc
@@ -0,0 +1,110 @@
+// Implementation of the structured log on Boost.Log's trivial sink.
+
+#include "base/log.h"
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/trivial.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <iostream>
+
+#include "mangoyoke/clock.h"
+
+namespace mangoyoke {
+namespace {
+
+namespace logging = boost::log;
+
+std::string& InstanceName() {
+  static std::string name = "-";
+  return name;
+}
+
+LogLevel& MinimumLevel() {
+  static LogLevel level = LogLevel::kInfo;
+  return level;
+}
+
+std::string_view LevelName(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "error";
+}
+
+bool NeedsQuotes(std::string_view value) {
+  return value.empty() ||
+         value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
+}
+
+}  // namespace
+
+void InitLog(std::string_view instance, LogLevel level) {
+  InstanceName() = instance;
+  MinimumLevel() = level;
+  logging::add_console_log(
+      std::clog,
+      logging::keywords::format = logging::expressions::stream
+                                  << logging::expressions::smessage,
+      logging::keywords::auto_flush = true);
+}
+
+LogEvent::LogEvent(std::string_view event, LogLevel level)
+    : level_(level), enabled_(level >= MinimumLevel()) {
+  if (!enabled_) {
+    return;
+  }
+  line_ << "time_ms=" << WallMillis() << " level=" << LevelName(level)
+        << " instance=" << InstanceName() << " event=" << event;
+}
+
+LogEvent::~LogEvent() {
+  if (enabled_) {
+    BOOST_LOG_TRIVIAL(info) << line_.str();
+  }
+}
+
+LogEvent& LogEvent::Field(std::string_view key, std::string_view value) {
+  if (!enabled_) {
+    return *this;
+  }
+  line_ << ' ' << key << '=';
+  if (!NeedsQuotes(value)) {
+    line_ << value;
+    return *this;
+  }
+  line_ << '"';
+  for (char c : value) {
+    if (c == '"' || c == '\\') {
+      line_ << '\\' << c;
+    } else {
+      line_ << (c == '\n' || c == '\r' ? ' ' : c);
+    }
+  }
+  line_ << '"';
+  return *this;
+}
+
+LogEvent& LogEvent::Field(std::string_view key, int64_t value) {
+  if (enabled_) {
+    line_ << ' ' << key << '=' << value;
+  }
+  return *this;
+}
+
+LogEvent& LogEvent::Field(std::string_view key, double value) {
+  if (enabled_) {
+    line_ << ' ' << key << '=' << value;
+  }
+  return *this;
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/base/log.h
@@ -0,0 +1,40 @@
+// Structured logs: one line of key=value pairs for each event, by Boost.Log.
+
+#ifndef MANGOYOKE_BASE_LOG_H_
+#define MANGOYOKE_BASE_LOG_H_
+
+#include <cstdint>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+namespace mangoyoke {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+// Sends log lines to standard error. `instance` is printed in each line.
+void InitLog(std::string_view instance, LogLevel level);
+
+// Builds one log line and writes it when destroyed.
+// Example: LogEvent("plan_in_force").Field("revision", 7);
+class LogEvent {
+ public:
+  explicit LogEvent(std::string_view event, LogLevel level = LogLevel::kInfo);
+  ~LogEvent();
+  LogEvent(const LogEvent&) = delete;
+  LogEvent& operator=(const LogEvent&) = delete;
+
+  // Appends ` key=value`; values with spaces or quotes are quoted.
+  LogEvent& Field(std::string_view key, std::string_view value);
+  LogEvent& Field(std::string_view key, int64_t value);
+  LogEvent& Field(std::string_view key, double value);
+
+ private:
+  LogLevel level_;
+  bool enabled_;
+  std::ostringstream line_;
+};
+
+}  // namespace mangoyoke
+
+#endif  // MANGOYOKE_BASE_LOG_H_
--- /dev/null
+++ b/src/base/metrics.h
@@ -0,0 +1,59 @@
+// Counters and latency quantiles, printed in the usual text exposition format.
+
+#ifndef MANGOYOKE_BASE_METRICS_H_
+#define MANGOYOKE_BASE_METRICS_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace mangoyoke {
+
+// All metrics of one process. Thread-safe; counters are few, so one lock
+// suffices.
+class Metrics {
+ public:
+  Metrics();
+  ~Metrics();
+
+  // Adds `amount` to the counter `name{label="value"}`.
+  void Count(std::string_view name,
+             std::string_view label = {},
+             std::string_view value = {},
+             uint64_t amount = 1);
+
+  // Sets the gauge `name`.
+  void Set(std::string_view name, double value);
+
+  // Adds a sample in milliseconds to the quantiles 0.5, 0.95 and 0.99.
+  void Observe(std::string_view name, double millis);
+
+  // The value of a counter, 0 if it was never counted.
+  uint64_t Value(std::string_view name,
+                 std::string_view label = {},
+                 std::string_view value = {}) const;
+
+  // The metrics page.
+  std::string Print() const;
+
+ private:
+  struct Quantiles;
+
+  mutable std::mutex mutex_;
+  std::map<std::string, uint64_t> counters_;
+  std::map<std::string, double> gauges_;
+  std::map<std::string, std::unique_ptr<Quantiles>> quantiles_;
+};
+
+// Processor time of this process in milliseconds.
+double ProcessCpuMillis();
+
+// Resident memory of this process in bytes.
+uint64_t ResidentBytes();
+
+}  // namespace mangoyoke
+
+#endif  // MANGOYOKE_BASE_METRICS_H_
--- /dev/null
+++ b/src/coordination/slot_allocator.cc
@@ -0,0 +1,494 @@
+// Queueing, placement and recovery of the slots of one cell.
+
+#include "mangoyoke/slot_allocator.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace mangoyoke {
+namespace {
+
+constexpr size_t kPrefixBlocksPerServer = 4096;
+constexpr size_t kReleaseSamples = 64;
+constexpr Duration kReleaseWindow = Seconds(5);
+constexpr double kMicrosPerMilli = 1000;
+constexpr double kBytesPerMegabyte = 1e6;
+// Prompts granted to one prefill server at a time: one that runs, one next.
+constexpr size_t kMaxOpenPrefills = 2;
+
+}  // namespace
+
+SlotAllocator::SlotAllocator(SlotAllocatorOptions options)
+    : options_(options), prefixes_(kPrefixBlocksPerServer) {}
+
+void SlotAllocator::SetBackend(const Backend& backend,
+                               const Model& model,
+                               TimePoint now) {
+  auto [it, inserted] = servers_.try_emplace(backend.id);
+  Server& server = it->second;
+  server.config = backend;
+  server.model = model;
+  if (inserted) {
+    server.taken_over = now;
+    server.work_free = now;
+    server.link_free = now;
+  }
+}
+
+void SlotAllocator::RemoveBackend(const BackendId& id) {
+  servers_.erase(id);
+  prefixes_.Clear(id);
+  stragglers_.Forget(id);
+}
+
+std::vector<BackendId> SlotAllocator::BackendIds() const {
+  std::vector<BackendId> ids;
+  for (const auto& [id, server] : servers_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+void SlotAllocator::Request(SlotRequest request) {
+  RequestId id = request.id;
+  waiting_.insert_or_assign(std::move(id), std::move(request));
+}
+
+void SlotAllocator::PrefillDone(const RequestId& id, TimePoint now) {
+  if (auto it = grants_.find(id); it != grants_.end()) {
+    EndPrefill(it->second, now);
+  }
+}
+
+void SlotAllocator::EndPrefill(Grant& grant, TimePoint now) {
+  if (std::exchange(grant.prefill_done, true)) {
+    return;
+  }
+  auto it = servers_.find(grant.slots.prefill);
+  if (it == servers_.end()) {
+    return;
+  }
+  Server& server = it->second;
+  server.open.erase(grant.slots.id);
+  // Corrects the prediction by what is really left.
+  double left_ms = 0;
+  for (const RequestId& id : server.open) {
+    if (auto other = grants_.find(id); other != grants_.end()) {
+      left_ms += other->second.slots.prefill_ms;
+    }
+  }
+  server.work_free = now + FromMillis(left_ms);
+}
+
+void SlotAllocator::Release(const RequestId& id, TimePoint now) {
+  waiting_.erase(id);
+  auto it = grants_.find(id);
+  if (it == grants_.end()) {
+    return;
+  }
+  Grant& grant = it->second;
+  EndPrefill(grant, now);
+  if (auto share = account_grants_.find(grant.account);
+      share != account_grants_.end() && --share->second <= 0) {
+    account_grants_.erase(share);
+  }
+  if (auto server = servers_.find(grant.slots.decode);
+      server != servers_.end() && server->second.open.erase(id) > 0) {
+    std::deque<TimePoint>& releases = server->second.releases;
+    releases.push_back(now);
+    if (releases.size() > kReleaseSamples) {
+      releases.pop_front();
+    }
+  }
+  grants_.erase(it);
+}
+
+std::vector<SlotDecision> SlotAllocator::Pump(TimePoint now) {
+  std::vector<SlotDecision> decisions;
+  size_t ahead = 0;
+  double ahead_ms = 0;  // Prefill work of those who stay in front.
+  for (const RequestId& id : QueueOrder()) {
+    const SlotRequest& request = waiting_.at(id);
+    // Nobody overtakes who is ahead in the queue. A request that excludes
+    // servers may wait for others than the rest does.
+    bool blocked = ahead > 0 && request.exclude.empty();
+    std::optional<SlotGrant> grant;
+    if (!blocked && now < request.deadline) {
+      grant = TryGrant(request, now);
+    }
+    if (grant) {
+      decisions.push_back(SlotDecision{id, *grant});
+      waiting_.erase(id);
+      continue;
+    }
+    if (auto refusal = Refusal(request, ahead_ms, ahead, now)) {
+      decisions.push_back(SlotDecision{id, *refusal});
+      waiting_.erase(id);
+      continue;
+    }
+    ++ahead;
+    ahead_ms += static_cast<double>(request.prompt_tokens) *
+                static_cast<double>(
+                    servers_.begin()->second.model.prefill_us_per_token) /
+                kMicrosPerMilli;
+  }
+  return decisions;
+}
+
+void SlotAllocator::Assert(const AssertedGrant& asserted, TimePoint now) {
+  if (grants_.contains(asserted.grant.id)) {
+    return;
+  }
+  AddGrant(Grant{asserted.grant, asserted.owner, asserted.account, now,
+                 asserted.prefill_done},
+           now);
+}
+
+void SlotAllocator::OwnerGone(const RequestOwner& owner, TimePoint now) {
+  std::vector<RequestId> gone;
+  for (const auto& [id, request] : waiting_) {
+    if (request.owner == owner) {
+      gone.push_back(id);
+    }
+  }
+  for (const auto& [id, grant] : grants_) {
+    if (grant.owner != owner) {
+      continue;
+    }
+    gone.push_back(id);
+    if (auto server = servers_.find(grant.slots.decode);
+        server != servers_.end()) {
+      server->second.unknown.insert(id);
+    }
+  }
+  for (const RequestId& id : gone) {
+    Release(id, now);
+  }
+}
+
+void SlotAllocator::OnEngineList(const BackendId& id,
+                                 const std::vector<RequestId>& running,
+                                 TimePoint) {
+  auto it = servers_.find(id);
+  if (it == servers_.end()) {
+    return;
+  }
+  Server& server = it->second;
+  server.listed = true;
+  server.unknown.clear();
+  for (const RequestId& request_id : running) {
+    if (!server.open.contains(request_id)) {
+      server.unknown.insert(request_id);
+    }
+  }
+}
+
+void SlotAllocator::SetReachable(const BackendId& id, bool reachable) {
+  if (auto it = servers_.find(id); it != servers_.end()) {
+    it->second.reachable = reachable;
+  }
+}
+
+void SlotAllocator::ObserveSlowness(const BackendId& id,
+                                    double slowness,
+                                    TimePoint now) {
+  if (auto it = servers_.find(id); it != servers_.end()) {
+    stragglers_.Observe(id, slowness, PoolOf(it->second), now);
+  }
+}
+
+void SlotAllocator::ObserveFailure(const BackendId& id, TimePoint now) {
+  if (auto it = servers_.find(id); it != servers_.end()) {
+    stragglers_.Failed(id, PoolOf(it->second), now);
+  }
+}
+
+std::vector<AssertedGrant> SlotAllocator::GrantsOlderThan(Duration age,
+                                                          TimePoint now) const {
+  std::vector<AssertedGrant> old;
+  for (const auto& [id, grant] : grants_) {
+    if (now - grant.since >= age) {
+      old.push_back(AssertedGrant{grant.slots, grant.owner, grant.account,
+                                  grant.prefill_done});
+    }
+  }
+  return old;
+}
+
+SlotAllocator::Summary SlotAllocator::Summarize(TimePoint now) const {
+  Summary summary;
+  for (const auto& [id, server] : servers_) {
+    if (server.config.role == BackendRole::kDecode && Usable(server, now)) {
+      summary.free_slots += std::max<int64_t>(0, FreeSlots(server, 0, now));
+    }
+  }
+  summary.waiting = static_cast<int64_t>(waiting_.size());
+  return summary;
+}
+
+bool SlotAllocator::Serves(const Server& server,
+                           BackendRole role,
+                           const SlotRequest& request) const {
+  return server.config.role == role && server.config.model == request.model &&
+         !server.config.leaving && server.reachable;
+}
+
+bool SlotAllocator::Usable(const Server& server, TimePoint now) const {
+  if (server.config.leaving || !server.reachable) {
+    return false;
+  }
+  switch (stragglers_.HealthOf(server.config.id, now)) {
+    case StragglerDetector::Health::kNormal:
+      return true;
+    case StragglerDetector::Health::kProbing:
+      return server.open.empty();
+    case StragglerDetector::Health::kEjected:
+      return false;
+  }
+  return false;
+}
+
+int64_t SlotAllocator::FreeSlots(const Server& server,
+                                 double lead_ms,
+                                 TimePoint now) const {
+  bool recovering = now - server.taken_over < options_.recovery;
+  if (recovering && !server.listed) {
+    return 0;
+  }
+  double ahead = ReleasesPerSecond(server, now) * lead_ms / 1000;
+  double most =
+      options_.max_ahead_share * static_cast<double>(server.config.slots);
+  auto used = static_cast<int64_t>(server.open.size() + server.unknown.size());
+  return server.config.slots + static_cast<int64_t>(std::min(ahead, most)) -
+         used;
+}
+
+double SlotAllocator::ReleasesPerSecond(const Server& server,
+                                        TimePoint now) const {
+  auto recent =
+      std::find_if(server.releases.begin(), server.releases.end(),
+                   [now](TimePoint at) { return now - at <= kReleaseWindow; });
+  auto count = std::distance(recent, server.releases.end());
+  if (count < 2) {
+    return 0;
+  }
+  double window_ms = std::max(1.0, ToMillis(now - *recent));
+  return static_cast<double>(count) * 1000 / window_ms;
+}
+
+double SlotAllocator::BacklogMs(const Server& server, TimePoint now) const {
+  return server.open.empty() ? 0
+                             : std::max(0.0, ToMillis(server.work_free - now));
+}
+
+double SlotAllocator::PrefillMs(const Server& server,
+                                const SlotRequest& request) const {
+  int64_t hit = prefixes_.HitTokens(server.config.id, request.prefix_hashes);
+  auto tokens =
+      static_cast<double>(std::max<int64_t>(1, request.prompt_tokens - hit));
+  double micros =
+      tokens * static_cast<double>(server.model.prefill_us_per_token);
+  return micros / kMicrosPerMilli * stragglers_.SlownessOf(server.config.id);
+}
+
+double SlotAllocator::TransferMs(const Server& server,
+                                 const SlotRequest& request) const {
+  double bytes = static_cast<double>(request.prompt_tokens) *
+                 static_cast<double>(server.model.kv_bytes_per_token);
+  double per_second =
+      static_cast<double>(server.config.link_mb_per_s) * kBytesPerMegabyte;
+  return bytes / per_second * 1000;
+}
+
+bool SlotAllocator::PrefillOpen(const Server& server,
+                                const SlotRequest& request,
+                                TimePoint now) const {
+  if (server.open.empty()) {
+    return true;
+  }
+  double backlog_ms = BacklogMs(server, now);
+  double done_ms = backlog_ms + PrefillMs(server, request);
+  double link_wait_ms = ToMillis(server.link_free - now) - done_ms;
+  return server.open.size() < kMaxOpenPrefills &&
+         backlog_ms <= options_.prefill_lookahead_ms &&
+         link_wait_ms <= options_.max_link_wait_ms;
+}
+
+std::vector<BackendId> SlotAllocator::PoolOf(const Server& server) const {
+  std::vector<BackendId> pool;
+  for (const auto& [id, other] : servers_) {
+    if (other.config.role == server.config.role &&
+        other.config.model == server.config.model) {
+      pool.push_back(id);
+    }
+  }
+  return pool;
+}
+
+SlotAllocator::Candidate SlotAllocator::Choose(const SlotRequest& request,
+                                               TimePoint now) {
+  auto excluded = [&request](const BackendId& id) {
+    return std::find(request.exclude.begin(), request.exclude.end(), id) !=
+           request.exclude.end();
+  };
+  Candidate best;
+  for (auto& [prefill_id, prefill] : servers_) {
+    if (!Serves(prefill, BackendRole::kPrefill, request) ||
+        excluded(prefill_id) || !Usable(prefill, now) ||
+        !PrefillOpen(prefill, request, now)) {
+      continue;
+    }
+    // A prefix hit is worth waiting for while the wait is shorter than the
+    // prefill it saves: the sum of both decides.
+    double lead_ms = BacklogMs(prefill, now) + PrefillMs(prefill, request);
+    for (auto& [decode_id, decode] : servers_) {
+      if (!Serves(decode, BackendRole::kDecode, request) ||
+          excluded(decode_id) || !Usable(decode, now)) {
+        continue;
+      }
+      int64_t free = FreeSlots(decode, lead_ms, now);
+      if (free <= 0) {
+        continue;
+      }
+      double load = 1 - static_cast<double>(free) /
+                            static_cast<double>(decode.config.slots);
+      bool cross_zone = prefill.config.zone != decode.config.zone;
+      double cost_ms = lead_ms + load * options_.cross_zone_ms * 2 +
+                       (cross_zone ? options_.cross_zone_ms : 0);
+      if (best.prefill == nullptr || cost_ms < best.cost_ms) {
+        best = Candidate{&prefill, &decode, cost_ms};
+      }
+    }
+  }
+  return best;
+}
+
+std::optional<SlotGrant> SlotAllocator::TryGrant(const SlotRequest& request,
+                                                 TimePoint now) {
+  Candidate pair = Choose(request, now);
+  if (pair.prefill == nullptr) {
+    return std::nullopt;
+  }
+  SlotGrant grant;
+  grant.id = request.id;
+  grant.prefill = pair.prefill->config.id;
+  grant.decode = pair.decode->config.id;
+  grant.prefill_ms = PrefillMs(*pair.prefill, request);
+  grant.predicted_ms = BacklogMs(*pair.prefill, now) + grant.prefill_ms;
+  grant.prefix_tokens =
+      prefixes_.HitTokens(grant.prefill, request.prefix_hashes);
+  for (uint64_t hash : request.prefix_hashes) {
+    prefixes_.Add(grant.prefill, hash);
+  }
+  TimePoint prefilled = now + FromMillis(grant.predicted_ms);
+  pair.prefill->link_free = std::max(pair.prefill->link_free, prefilled) +
+                            FromMillis(TransferMs(*pair.prefill, request));
+  AddGrant(Grant{grant, request.owner, request.account, now, false}, now);
+  return grant;
+}
+
+void SlotAllocator::AddGrant(Grant grant, TimePoint now) {
+  const RequestId id = grant.slots.id;
+  if (auto it = servers_.find(grant.slots.prefill);
+      it != servers_.end() && !grant.prefill_done) {
+    Server& server = it->second;
+    server.work_free =
+        now + FromMillis(BacklogMs(server, now) + grant.slots.prefill_ms);
+    server.open.insert(id);
+  }
+  if (auto it = servers_.find(grant.slots.decode); it != servers_.end()) {
+    it->second.open.insert(id);
+    it->second.unknown.erase(id);
+  }
+  ++account_grants_[grant.account];
+  grants_.insert_or_assign(id, std::move(grant));
+}
+
+std::optional<Error> SlotAllocator::Refusal(const SlotRequest& request,
+                                            double ahead_ms,
+                                            size_t ahead,
+                                            TimePoint now) const {
+  if (now >= request.deadline) {
+    return Error{ErrorCode::kDeadlineExpired, "waited in the queue"};
+  }
+  for (BackendRole role : {BackendRole::kPrefill, BackendRole::kDecode}) {
+    bool any = std::any_of(
+        servers_.begin(), servers_.end(),
+        [&](const auto& entry) { return Serves(entry.second, role, request); });
+    if (!any) {
+      return Error{ErrorCode::kNoBackend, "no " + std::string(RoleName(role)) +
+                                              " server for " + request.model};
+    }
+  }
+  if (ahead >= options_.max_waiting) {
+    return Error{ErrorCode::kQueueFull, ""};
+  }
+  if (PredictedMs(request, ahead_ms, ahead, now) >
+      ToMillis(request.deadline - now)) {
+    return Error{ErrorCode::kDeadlineTooShort, ""};
+  }
+  return std::nullopt;
+}
+
+double SlotAllocator::PredictedMs(const SlotRequest& request,
+                                  double ahead_ms,
+                                  size_t ahead,
+                                  TimePoint now) const {
+  double prefills = 0;
+  double backlog_ms = 0;
+  double own_ms = std::numeric_limits<double>::max();
+  double release_rate = 0;
+  for (const auto& [id, server] : servers_) {
+    if (!Usable(server, now) || server.config.model != request.model) {
+      continue;
+    }
+    if (server.config.role == BackendRole::kDecode) {
+      release_rate += ReleasesPerSecond(server, now);
+    } else {
+      own_ms = std::min(
+          own_ms, PrefillMs(server, request) + TransferMs(server, request));
+      backlog_ms += BacklogMs(server, now);
+      prefills += 1;
+    }
+  }
+  if (prefills == 0) {
+    return 0;  // None usable now; the deadline decides.
+  }
+  double prefill_wait_ms = (backlog_ms + ahead_ms) / prefills;
+  double slot_wait_ms =
+      release_rate <= 0 ? 0 : static_cast<double>(ahead) * 1000 / release_rate;
+  return std::max(prefill_wait_ms, slot_wait_ms) + own_ms;
+}
+
+std::vector<RequestId> SlotAllocator::QueueOrder() const {
+  std::vector<const SlotRequest*> requests;
+  requests.reserve(waiting_.size());
+  for (const auto& [id, request] : waiting_) {
+    requests.push_back(&request);
+  }
+  std::sort(requests.begin(), requests.end(),
+            [](const SlotRequest* left, const SlotRequest* right) {
+              return std::tie(left->deadline, left->id) <
+                     std::tie(right->deadline, right->id);
+            });
+  // Each request in front counts as one more in the share of its account.
+  std::map<AccountId, int64_t> counts = account_grants_;
+  std::vector<std::tuple<int, double, size_t>> ranks;
+  for (size_t i = 0; i < requests.size(); ++i) {
+    const SlotRequest& request = *requests[i];
+    double share =
+        static_cast<double>(counts[request.account]++) /
+        static_cast<double>(std::max<int64_t>(1, request.account_weight));
+    ranks.emplace_back(request.priority, share, i);
+  }
+  std::sort(ranks.begin(), ranks.end());
+  std::vector<RequestId> order;
+  order.reserve(ranks.size());
+  for (const auto& [priority, share, index] : ranks) {
+    order.push_back(requests[index]->id);
+  }
+  return order;
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/daemon/control/admin/admin_api.h
@@ -0,0 +1,33 @@
+// The operators' HTTP interface of one instance, on its own address.
+
+#ifndef MANGOYOKE_DAEMON_CONTROL_ADMIN_ADMIN_API_H_
+#define MANGOYOKE_DAEMON_CONTROL_ADMIN_ADMIN_API_H_
+
+#include <memory>
+
+#include "daemon/control/control_plane.h"
+#include "http/http_dispatcher.h"
+
+namespace mangoyoke {
+
+// Runs on the control thread.
+class AdminApi : public RequestSink {
+ public:
+  AdminApi(ControlPlane& control, Metrics& metrics);
+
+  void Handle(ServerRequest request,
+              std::shared_ptr<ResponseStream> stream) override;
+  void CallerGone(uint64_t) override {}
+
+ private:
+  void GetPlan(const std::shared_ptr<ResponseStream>& stream);
+  void SubmitPlan(const ServerRequest& request,
+                  const std::shared_ptr<ResponseStream>& stream);
+
+  ControlPlane& control_;
+  Metrics& metrics_;
+};
+
+}  // namespace mangoyoke
+
+#endif  // MANGOYOKE_DAEMON_CONTROL_ADMIN_ADMIN_API_H_
--- /dev/null
+++ b/src/daemon/control/calls/call_service.cc
@@ -0,0 +1,272 @@
+// Ownership, forwarding and replication of non-idempotent calls.
+
+#include "daemon/control/calls/call_service.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+#include "base/log.h"
+#include "daemon/control/calls/call_codec.h"
+#include "mangoyoke/rendezvous.h"
+
+namespace mangoyoke {
+namespace {
+
+constexpr int kConflict = 409;
+constexpr Millis kClaimTimeout{1500};
+constexpr Millis kReplicaTimeout{1000};
+constexpr Millis kForwardSlack{200};
+// Allowed difference between the wall clocks of two instances.
+constexpr Seconds kClockSkew{60};
+// Claims older than this may have left the owner's outcome table.
+constexpr Seconds kClaimLife{600};
+
+OutcomeTableOptions TableOptions(Seconds ticket_life) {
+  OutcomeTableOptions options;
+  options.retention = std::max(ticket_life, kClaimLife) + kClockSkew * 2;
+  return options;
+}
+
+uint64_t Fingerprint(const ServiceRequest& request) {
+  return StableHash(request.service + "\n" + request.method + "\n" +
+                    request.path + "\n" + request.body);
+}
+
+std::string ClaimUrl(const Settings& settings, const std::string& key) {
+  std::ostringstream url;
+  url << settings.platform_url << "/tables/calls/" << std::hex << std::setw(16)
+      << std::setfill('0') << StableHash(key);
+  return url.str();
+}
+
+std::string RowValue(const std::string& body) {
+  Json json = Json::parse(body, nullptr, false);
+  return json.is_object() ? json.value("value", "") : "";
+}
+
+}  // namespace
+
+CallService::CallService(ControlContext context,
+                         RequestOwner self,
+                         Runner runner)
+    : context_(context),
+      self_(std::move(self)),
+      runner_(std::move(runner)),
+      table_(TableOptions(context.settings.ticket_life)),
+      replicas_(TableOptions(context.settings.ticket_life)) {}
+
+void CallService::CallOnce(ServiceRequest request, Callback callback) {
+  auto ticket = TicketOfKey(request.key);
+  if (!ticket) {
+    Claim(request, std::move(callback));
+    return;
+  }
+  int64_t age_s = WallSeconds() - ticket->issued_s;
+  if (age_s > (context_.settings.ticket_life + kClockSkew).count()) {
+    callback(Error{ErrorCode::kKeyExpired, "the ticket is too old"});
+    return;
+  }
+  RequestOwner owner{ticket->instance, ticket->incarnation};
+  if (owner == self_) {
+    RunHere(request, std::move(callback));
+  } else {
+    Forward(owner, request, std::move(callback));
+  }
+}
+
+void CallService::RunHere(const ServiceRequest& request, Callback callback) {
+  TimePoint now = SteadyClock::now();
+  auto begun = table_.Begin(request.key, Fingerprint(request), now, callback);
+  if (begun == OutcomeTable::Begun::kPending) {
+    context_.metrics.Count("mangoyoke_repeated_keys_total");
+    return;
+  }
+  runner_(request, [this, request, callback](Outcome outcome) {
+    table_.Complete(request.key, outcome, SteadyClock::now());
+    Replicate(request, outcome);
+    callback(outcome);
+  });
+}
+
+void CallService::Forward(const RequestOwner& owner,
+                          const ServiceRequest& request,
+                          Callback callback) {
+  auto record = context_.membership.Find(owner.instance);
+  bool gone = record &&
+              (record->incarnation > owner.incarnation ||
+               (record->incarnation == owner.incarnation && !record->Usable()));
+  if (gone) {
+    AskReplica(request, Error{ErrorCode::kOwnerGone, owner.instance},
+               std::move(callback));
+    return;
+  }
+  if (!record || record->incarnation != owner.incarnation) {
+    AskReplica(request,
+               Error{ErrorCode::kOwnerUnreachable,
+                     owner.instance + " is not known here"},
+               std::move(callback));
+    return;
+  }
+  context_.metrics.Count("mangoyoke_forwarded_calls_total");
+  Json message{{"owner", owner.incarnation}, {"call", EncodeCall(request)}};
+  context_.peers.Call(record->peer_address, "/calls/run", message,
+                      Millis(request.deadline_ms) + kForwardSlack,
+                      [this, owner, request, callback](Result<Json> result) {
+                        if (const auto* error = std::get_if<Error>(&result)) {
+                          // The call may have reached the owner: never run it
+                          // here.
+                          AskReplica(
+                              request,
+                              Error{ErrorCode::kOwnerUnreachable,
+                                    owner.instance + ": " + error->detail},
+                              callback);
+                          return;
+                        }
+                        callback(DecodeOutcome(std::get<Json>(result)));
+                      });
+}
+
+void CallService::OnForwarded(const Json& message,
+                              const PeerResponder& respond) {
+  if (message.at("owner").get<uint64_t>() != self_.incarnation) {
+    respond(EncodeOutcome(Error{ErrorCode::kOwnerGone, self_.instance}));
+    return;
+  }
+  RunHere(DecodeCall(message.at("call")), [respond](const Outcome& outcome) {
+    respond(EncodeOutcome(outcome));
+  });
+}
+
+void CallService::Claim(const ServiceRequest& request, Callback callback) {
+  ClientRequest claim;
+  claim.method = "PUT";
+  claim.url = ClaimUrl(context_.settings, request.key);
+  claim.timeout = kClaimTimeout;
+  claim.fresh_connection = true;
+  Json row{{"key", request.key},
+           {"instance", self_.instance},
+           {"incarnation", self_.incarnation},
+           {"claimed_s", WallSeconds()}};
+  claim.body = Json{{"expected_version", 0}, {"value", row.dump()}}.dump();
+  context_.http.Start(
+      std::move(claim), [this, request, callback](ClientResponse response) {
+        if (response.Succeeded() || response.status == kConflict) {
+          FollowClaim(request, RowValue(response.body), callback);
+          return;
+        }
+        if (response.end == TransferEnd::kNotConnected) {
+          callback(Error{ErrorCode::kClaimUnavailable, response.error});
+          return;
+        }
+        context_.metrics.Count("mangoyoke_store_lost_replies_total");
+        ReadClaim(request, callback);
+      });
+}
+
+void CallService::ReadClaim(const ServiceRequest& request, Callback callback) {
+  ClientRequest read;
+  read.url = ClaimUrl(context_.settings, request.key);
+  read.timeout = kClaimTimeout;
+  context_.http.Start(
+      std::move(read), [this, request, callback](ClientResponse response) {
+        if (response.Succeeded()) {
+          FollowClaim(request, RowValue(response.body), callback);
+          return;
+        }
+        // A claim that takes effect later only names this incarnation as the
+        // owner; nothing runs without another request. So it did not run.
+        callback(Error{ErrorCode::kClaimUnavailable, response.error});
+      });
+}
+
+void CallService::FollowClaim(const ServiceRequest& request,
+                              const std::string& row_value,
+                              const Callback& callback) {
+  Json row = Json::parse(row_value, nullptr, false);
+  if (!row.is_object()) {
+    callback(Error{ErrorCode::kClaimUnavailable, "unreadable row"});
+    return;
+  }
+  if (row.value("key", "") != request.key) {
+    callback(Error{ErrorCode::kKeyReused, "the key's hash is taken"});
+    return;
+  }
+  RequestOwner owner{row.value("instance", ""),
+                     row.value("incarnation", uint64_t{0})};
+  if (owner != self_) {
+    Forward(owner, request, callback);
+    return;
+  }
+  int64_t age_s = WallSeconds() - row.value("claimed_s", int64_t{0});
+  if (!table_.Contains(request.key) && age_s > kClaimLife.count()) {
+    callback(Error{ErrorCode::kKeyExpired, "the claim is too old"});
+    return;
+  }
+  RunHere(request, callback);
+}
+
+std::string CallService::ReplicaAddress(const std::string& key,
+                                        const InstanceId& owner) const {
+  std::vector<InstanceId> others = context_.membership.Usable();
+  std::erase(others, owner);
+  InstanceId replica = RendezvousPick("outcome/" + key, others);
+  auto record = context_.membership.Find(replica);
+  return record ? record->peer_address : "";
+}
+
+void CallService::Replicate(const ServiceRequest& request,
+                            const Outcome& outcome) {
+  const auto* error = std::get_if<Error>(&outcome);
+  if (error != nullptr && InfoOf(error->code).execution == Execution::kNotRun) {
+    return;
+  }
+  std::string address = ReplicaAddress(request.key, self_.instance);
+  if (address.empty()) {
+    return;
+  }
+  context_.peers.Call(address, "/calls/replica",
+                      Json{{"key", request.key},
+                           {"fingerprint", Fingerprint(request)},
+                           {"outcome", EncodeOutcome(outcome)}},
+                      kReplicaTimeout, [](Result<Json>) {});
+}
+
+void CallService::OnReplica(const Json& message) {
+  replicas_.Adopt(message.at("key").get<std::string>(),
+                  message.at("fingerprint").get<uint64_t>(),
+                  DecodeOutcome(message.at("outcome")), SteadyClock::now());
+}
+
+Json CallService::OnQuery(const Json& message) const {
+  const Outcome* outcome = replicas_.Find(message.at("key").get<std::string>());
+  return outcome == nullptr ? Json::object()
+                            : Json{{"outcome", EncodeOutcome(*outcome)}};
+}
+
+void CallService::AskReplica(const ServiceRequest& request,
+                             Error otherwise,
+                             Callback callback) {
+  auto answer = [otherwise, callback](const Json& message) {
+    if (message.contains("outcome")) {
+      callback(DecodeOutcome(message["outcome"]));
+    } else {
+      callback(otherwise);
+    }
+  };
+  auto ticket = TicketOfKey(request.key);
+  std::string address =
+      ReplicaAddress(request.key, ticket ? ticket->instance : "");
+  Json query{{"key", request.key}};
+  if (address.empty() || address == context_.membership.self().peer_address) {
+    answer(OnQuery(query));
+    return;
+  }
+  context_.peers.Call(
+      address, "/calls/query", query, kReplicaTimeout,
+      [answer](Result<Json> result) {
+        answer(Ok(result) ? std::get<Json>(result) : Json::object());
+      });
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/daemon/control/control_plane.cc
@@ -0,0 +1,329 @@
+// Wiring of the control services and the gateway for traffic threads.
+
+#include "daemon/control/control_plane.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+#include "base/log.h"
+#include "daemon/control/slots/slot_codec.h"
+
+namespace mangoyoke {
+namespace {
+
+constexpr Duration kCostInterval = Millis(1000);
+constexpr Millis kDescribeTimeout{1000};
+
+MemberRecord SelfRecord(const Settings& settings) {
+  MemberRecord record;
+  record.id = settings.id;
+  record.incarnation = static_cast<uint64_t>(WallMillis());
+  record.zone = settings.zone;
+  record.region = settings.region;
+  record.peer_address = settings.advertised_peers;
+  record.caller_address = settings.callers;
+  return record;
+}
+
+MembershipOptions OptionsFrom(const Settings& settings) {
+  MembershipOptions options;
+  options.suspect_after = settings.suspect_after;
+  options.dead_after = settings.dead_after;
+  return options;
+}
+
+}  // namespace
+
+ControlPlane::ControlPlane(boost::asio::io_context& io,
+                           const Settings& settings,
+                           Metrics& metrics)
+    : io_(io),
+      settings_(settings),
+      metrics_(metrics),
+      peer_client_(io),
+      http_(io),
+      membership_(SelfRecord(settings), OptionsFrom(settings)),
+      peer_server_(io, *this) {
+  self_ = RequestOwner{membership_.self().id, membership_.self().incarnation};
+  ControlContext context{io_,          settings_, metrics_,
+                         peer_client_, http_,     membership_};
+  members_ = std::make_unique<MembershipService>(context);
+  plans_ = std::make_unique<PlanService>(context);
+  allocators_ = std::make_unique<AllocatorService>(context);
+  reserving_ =
+      std::make_unique<ReservingPlacement>(context, *plans_, *allocators_);
+  if (settings_.placement == PlacementKind::kLeastLoaded) {
+    least_loaded_ = std::make_unique<LeastLoadedPlacement>(context, *plans_);
+    placement_ = least_loaded_.get();
+  } else {
+    placement_ = reserving_.get();
+  }
+  watcher_ = std::make_unique<EngineWatcher>(
+      context, *plans_, *allocators_,
+      [this](const RequestId& id) { return reserving_->IsOpen(id); });
+  orders_ =
+      std::make_unique<OrderService>(context, *plans_, *allocators_, *watcher_);
+  calls_ = std::make_unique<CallService>(
+      context, self_, [this](ServiceRequest request, OutcomeCallback callback) {
+        RunCall(std::move(request), std::move(callback));
+      });
+  ConnectServices();
+}
+
+ControlPlane::~ControlPlane() = default;
+
+void ControlPlane::ConnectServices() {
+  members_->on_change.Add([this](const std::vector<InstanceId>& ids) {
+    for (const InstanceId& id : ids) {
+      auto record = membership_.Find(id);
+      if (record && record->state == MemberState::kDead) {
+        LogEvent("member_dead", LogLevel::kWarning).Field("member", id);
+        metrics_.Count("mangoyoke_member_deaths_total");
+        allocators_->OwnerGone(RequestOwner{id, record->incarnation});
+      }
+    }
+    OnTopologyChange();
+  });
+  members_->on_newer_plan.Add([this](const std::string& address, Revision) {
+    plans_->PullFrom(address);
+  });
+  members_->on_declared_dead.Add([this] { reserving_->AssertAll(); });
+  plans_->on_plan.Add([this](const Plan& plan) {
+    members_->SetRevision(plan.revision);
+    OnTopologyChange();
+    members_->ProbeNow();
+  });
+}
+
+void ControlPlane::AddRunner(boost::asio::io_context& loop, Runner runner) {
+  runners_.push_back(LoopRunner{&loop, std::move(runner)});
+}
+
+Result<Unit> ControlPlane::Start() {
+  auto listening = peer_server_.Listen(settings_.peers);
+  if (!Ok(listening)) {
+    return listening;
+  }
+  members_->Start();
+  plans_->Start();
+  allocators_->Start();
+  watcher_->Start();
+  orders_->Start();
+  cost_timer_ = std::make_unique<PeriodicTimer>(io_, kCostInterval,
+                                                [this] { MeasureCost(); });
+  return Unit{};
+}
+
+void ControlPlane::OnTopologyChange() {
+  suspended_ = members_->suspended();
+  if (auto plan = plans_->Current()) {
+    allocators_->UpdateCells(*plan);
+  }
+  placement_->OnTopologyChange();
+}
+
+void ControlPlane::Leave() {
+  if (std::exchange(leaving_, true)) {
+    return;
+  }
+  LogEvent("leaving");
+  members_->Leave();
+  // Callers keep their entry lists for a while, so new work is taken until
+  // they have had time to ask again.
+  notice_timer_ =
+      std::make_unique<boost::asio::steady_timer>(io_, settings_.leave_notice);
+  notice_timer_->async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      refuses_ = true;
+    }
+  });
+}
+
+void ControlPlane::MeasureCost() {
+  suspended_ = members_->suspended();
+  metrics_.Set("mangoyoke_process_cpu_ms", ProcessCpuMillis());
+  metrics_.Set("mangoyoke_resident_bytes",
+               static_cast<double>(ResidentBytes()));
+  metrics_.Set("mangoyoke_peer_bytes",
+               static_cast<double>(peer_client_.BytesTransferred()));
+}
+
+Json ControlPlane::Describe() const {
+  Json members = Json::array();
+  for (const MemberRecord& record : membership_.All()) {
+    members.push_back(Json{{"instance", record.id},
+                           {"zone", record.zone},
+                           {"state", MemberStateName(record.state)},
+                           {"leaving", record.leaving},
+                           {"address", record.caller_address}});
+  }
+  return Json{{"instance", self_.instance},
+              {"incarnation", self_.incarnation},
+              {"zone", settings_.zone},
+              {"revision", plans_->revision()},
+              {"leaving", leaving_},
+              {"suspended", members_->suspended()},
+              {"open_calls", calls_->running()},
+              {"cells", allocators_->Describe()},
+              {"members", members}};
+}
+
+void ControlPlane::DescribeCluster(std::function<void(Json)> callback) {
+  struct Gathering {
+    Json instances = Json::array();
+    size_t missing = 0;
+  };
+  auto gathering = std::make_shared<Gathering>();
+  std::vector<InstanceId> ids = membership_.Usable();
+  gathering->missing = ids.size();
+  auto add = [gathering, callback](Json description) {
+    gathering->instances.push_back(std::move(description));
+    if (--gathering->missing == 0) {
+      callback(gathering->instances);
+    }
+  };
+  for (const InstanceId& id : ids) {
+    if (id == self_.instance) {
+      add(Describe());
+      continue;
+    }
+    auto record = membership_.Find(id);
+    peer_client_.Call(
+        record->peer_address, "/status", Json::object(), kDescribeTimeout,
+        [add, id](Result<Json> result) {
+          add(Ok(result) ? std::get<Json>(result)
+                         : Json{{"instance", id}, {"error", "no answer"}});
+        });
+  }
+}
+
+std::shared_ptr<const Plan> ControlPlane::CurrentPlan() const {
+  return plans_->Current();
+}
+
+std::optional<ErrorCode> ControlPlane::RefusesWork() const {
+  if (refuses_) {
+    return ErrorCode::kLeaving;
+  }
+  if (suspended_) {
+    return ErrorCode::kInstanceSuspended;
+  }
+  if (!plans_->Current()) {
+    return ErrorCode::kNotReady;
+  }
+  return std::nullopt;
+}
+
+void ControlPlane::Reserve(boost::asio::io_context& loop,
+                           SlotRequest request,
+                           GrantCallback callback) {
+  boost::asio::post(io_, [this, &loop, request = std::move(request),
+                          callback = std::move(callback)]() mutable {
+    placement_->Reserve(
+        std::move(request), [&loop, callback](Result<SlotGrant> result) {
+          boost::asio::post(loop, [callback, result] { callback(result); });
+        });
+  });
+}
+
+void ControlPlane::PrefillDone(const RequestId& id) {
+  boost::asio::post(io_, [this, id] { placement_->PrefillDone(id); });
+}
+
+void ControlPlane::Release(const RequestId& id) {
+  boost::asio::post(io_, [this, id] { placement_->Release(id); });
+}
+
+void ControlPlane::Observe(const RequestId& id,
+                           BackendObservation observation) {
+  boost::asio::post(io_, [this, id, observation = std::move(observation)] {
+    placement_->Observe(id, observation);
+  });
+}
+
+void ControlPlane::CallOnce(boost::asio::io_context& loop,
+                            ServiceRequest request,
+                            OutcomeCallback callback) {
+  boost::asio::post(io_, [this, &loop, request = std::move(request),
+                          callback = std::move(callback)]() mutable {
+    calls_->CallOnce(
+        std::move(request), [&loop, callback](const Outcome& outcome) {
+          boost::asio::post(loop, [callback, outcome] { callback(outcome); });
+        });
+  });
+}
+
+void ControlPlane::RunCall(ServiceRequest request, OutcomeCallback callback) {
+  if (runners_.empty()) {
+    callback(Error{ErrorCode::kNotReady, "no traffic thread"});
+    return;
+  }
+  LoopRunner& target = runners_[next_runner_++ % runners_.size()];
+  boost::asio::post(*target.loop, [this, &target, request = std::move(request),
+                                   callback = std::move(callback)]() mutable {
+    target.runner(std::move(request), [this, callback](Outcome outcome) {
+      boost::asio::post(
+          io_, [callback, outcome = std::move(outcome)] { callback(outcome); });
+    });
+  });
+}
+
+void ControlPlane::Entries(boost::asio::io_context& loop,
+                           const ZoneId& zone,
+                           EntriesCallback callback) {
+  boost::asio::post(io_, [this, &loop, zone, callback = std::move(callback)] {
+    boost::asio::post(
+        loop, [callback, entries = ListEntries(zone)] { callback(entries); });
+  });
+}
+
+std::vector<EntryAddress> ControlPlane::ListEntries(const ZoneId& zone) {
+  std::vector<EntryAddress> own_zone;
+  std::vector<EntryAddress> others;
+  int64_t now_s = WallSeconds();
+  for (const MemberRecord& record : membership_.All()) {
+    if (!record.AcceptsCallers()) {
+      continue;
+    }
+    Ticket ticket{record.id, record.incarnation, now_s};
+    EntryAddress entry{record.id, record.zone, record.caller_address,
+                       PrintTicket(ticket)};
+    (record.zone == zone ? own_zone : others).push_back(std::move(entry));
+  }
+  // Rotated, so that callers spread over the entries.
+  size_t turn = ++entries_turn_;
+  for (auto* list : {&own_zone, &others}) {
+    if (!list->empty()) {
+      std::rotate(list->begin(),
+                  list->begin() + static_cast<ptrdiff_t>(turn % list->size()),
+                  list->end());
+    }
+  }
+  own_zone.insert(own_zone.end(), others.begin(), others.end());
+  return own_zone;
+}
+
+void ControlPlane::OnPeerRequest(const std::string& path,
+                                 const Json& message,
+                                 PeerResponder respond) {
+  if (path == "/members/probe") {
+    respond(members_->OnProbe(message));
+  } else if (path == "/plan/get") {
+    respond(plans_->OnPlanRequest(message));
+  } else if (path == "/requests/check") {
+    respond(watcher_->OnCheck(message));
+  } else if (path == "/calls/run") {
+    calls_->OnForwarded(message, respond);
+  } else if (path == "/calls/replica") {
+    calls_->OnReplica(message);
+    respond(Json::object());
+  } else if (path == "/calls/query") {
+    respond(calls_->OnQuery(message));
+  } else if (path == "/status") {
+    respond(Describe());
+  } else if (!ServeSlotMessage(*allocators_, path, message, respond)) {
+    respond(Error{ErrorCode::kPeerMalformed, "unknown path " + path});
+  }
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/daemon/control/slots/allocator_service.cc
@@ -0,0 +1,258 @@
+// Cells of this instance: take-over, requests, and what engines show.
+
+#include "daemon/control/slots/allocator_service.h"
+
+#include "base/log.h"
+
+namespace mangoyoke {
+namespace {
+
+constexpr Duration kPumpInterval = Millis(10);
+constexpr Duration kBorrowTime = Seconds(5);
+
+SlotAllocatorOptions AllocatorOptions() {
+  SlotAllocatorOptions options;
+  options.max_ahead_share = 0;
+  return options;
+}
+
+}  // namespace
+
+AllocatorService::AllocatorService(ControlContext context)
+    : context_(context) {}
+
+void AllocatorService::Start() {
+  pump_timer_ = std::make_unique<PeriodicTimer>(context_.io, kPumpInterval,
+                                                [this] { PumpAll(); });
+}
+
+void AllocatorService::UpdateCells(const Plan& plan) {
+  plan_ = plan;
+  cells_ = BuildCells(plan);
+  TimePoint now = SteadyClock::now();
+  std::vector<MemberRecord> members = context_.membership.All();
+  const InstanceId& self = context_.membership.self().id;
+  std::set<CellId> keep;
+  for (const auto& [id, cell] : cells_) {
+    std::vector<InstanceId> order = AllocatorsOf(cell, members);
+    auto owned = owned_.find(id);
+    bool borrowed = owned != owned_.end() && owned->second.borrowed_until > now;
+    if ((!order.empty() && order.front() == self) || borrowed) {
+      TakeOver(cell, plan);
+      keep.insert(id);
+    }
+  }
+  std::vector<CellId> drop;
+  for (const auto& [id, state] : owned_) {
+    if (!keep.contains(id)) {
+      drop.push_back(id);
+    }
+  }
+  for (const CellId& id : drop) {
+    GiveUp(id);
+  }
+}
+
+AllocatorService::CellState& AllocatorService::TakeOver(const Cell& cell,
+                                                        const Plan& plan) {
+  TimePoint now = SteadyClock::now();
+  CellState& state = owned_[cell.id];
+  if (!state.allocator) {
+    state.allocator = std::make_unique<SlotAllocator>(AllocatorOptions());
+    LogEvent("cell_taken_over").Field("cell", cell.id);
+    context_.metrics.Count("mangoyoke_cell_takeovers_total");
+  }
+  for (const BackendId& id : state.allocator->BackendIds()) {
+    if (std::find(cell.backends.begin(), cell.backends.end(), id) ==
+        cell.backends.end()) {
+      state.allocator->RemoveBackend(id);
+      cell_of_.erase(id);
+    }
+  }
+  state.cell = cell;
+  for (const BackendId& id : cell.backends) {
+    bool known = state.allocator->Has(id);
+    state.allocator->SetBackend(plan.backends.at(id),
+                                plan.models.at(cell.model), now);
+    cell_of_[id] = cell.id;
+    if (!known) {
+      on_taken_over.Notify(id);
+    }
+  }
+  return state;
+}
+
+void AllocatorService::GiveUp(const CellId& id) {
+  LogEvent("cell_given_up").Field("cell", id);
+  CellState state = std::move(owned_.at(id));
+  owned_.erase(id);
+  std::erase_if(cell_of_,
+                [&id](const auto& entry) { return entry.second == id; });
+  for (const auto& [request_id, callback] : state.waiting) {
+    // The entry asks the new allocator.
+    callback(Reply{Error{ErrorCode::kPeerUnreachable, "cell moved"}, {}});
+  }
+}
+
+AllocatorService::CellState* AllocatorService::Find(const CellId& id) {
+  auto it = owned_.find(id);
+  return it == owned_.end() ? nullptr : &it->second;
+}
+
+void AllocatorService::Reserve(const CellId& cell,
+                               bool takeover,
+                               SlotRequest request,
+                               ReplyCallback callback) {
+  CellState* state = Find(cell);
+  if (state == nullptr && takeover && cells_.contains(cell)) {
+    state = &TakeOver(cells_.at(cell), plan_);
+    state->borrowed_until = SteadyClock::now() + kBorrowTime;
+  }
+  if (state == nullptr) {
+    callback(Reply{Error{ErrorCode::kPeerUnreachable, "not my cell"}, {}});
+    return;
+  }
+  state->waiting[request.id] = std::move(callback);
+  state->allocator->Request(std::move(request));
+  Pump(*state);
+}
+
+void AllocatorService::PrefillDone(const CellId& cell, const RequestId& id) {
+  if (CellState* state = Find(cell)) {
+    state->allocator->PrefillDone(id, SteadyClock::now());
+    Pump(*state);
+  }
+}
+
+void AllocatorService::Release(const CellId& cell, const RequestId& id) {
+  if (CellState* state = Find(cell)) {
+    state->allocator->Release(id, SteadyClock::now());
+    state->waiting.erase(id);
+    Pump(*state);
+  }
+}
+
+void AllocatorService::Observe(const CellId& cell,
+                               const BackendObservation& observation) {
+  CellState* state = Find(cell);
+  if (state == nullptr) {
+    return;
+  }
+  TimePoint now = SteadyClock::now();
+  uint64_t before = state->allocator->ejections();
+  if (observation.failed) {
+    state->allocator->ObserveFailure(observation.backend, now);
+  } else {
+    state->allocator->ObserveSlowness(observation.backend, observation.slowness,
+                                      now);
+  }
+  if (state->allocator->ejections() > before) {
+    LogEvent("backend_ejected")
+        .Field("backend", observation.backend)
+        .Field("slowness", observation.slowness);
+    context_.metrics.Count("mangoyoke_ejections_total", "backend",
+                           observation.backend);
+  }
+}
+
+void AllocatorService::Assert(const CellId& cell,
+                              const AssertedGrant& asserted) {
+  if (CellState* state = Find(cell)) {
+    state->allocator->Assert(asserted, SteadyClock::now());
+  }
+}
+
+void AllocatorService::OwnerGone(const RequestOwner& owner) {
+  for (auto& [id, state] : owned_) {
+    state.allocator->OwnerGone(owner, SteadyClock::now());
+  }
+}
+
+void AllocatorService::OnEngineState(const BackendId& id,
+                                     const EngineState& engine) {
+  auto cell = cell_of_.find(id);
+  if (cell == cell_of_.end()) {
+    return;
+  }
+  std::vector<RequestId> running;
+  for (const EngineState::Running& request : engine.running) {
+    running.push_back(request.id);
+  }
+  CellState& state = owned_.at(cell->second);
+  state.allocator->SetReachable(id, true);
+  state.allocator->OnEngineList(id, running, SteadyClock::now());
+  Pump(state);
+}
+
+void AllocatorService::OnEngineUnreachable(const BackendId& id) {
+  if (auto cell = cell_of_.find(id); cell != cell_of_.end()) {
+    owned_.at(cell->second).allocator->SetReachable(id, false);
+  }
+}
+
+PrefixIndex* AllocatorService::PrefixesOf(const BackendId& id) {
+  auto cell = cell_of_.find(id);
+  return cell == cell_of_.end()
+             ? nullptr
+             : &owned_.at(cell->second).allocator->prefixes();
+}
+
+std::vector<BackendId> AllocatorService::Watched() const {
+  std::vector<BackendId> ids;
+  for (const auto& [backend, cell] : cell_of_) {
+    ids.push_back(backend);
+  }
+  return ids;
+}
+
+std::vector<std::pair<CellId, AssertedGrant>> AllocatorService::OldGrants(
+    Duration age) const {
+  std::vector<std::pair<CellId, AssertedGrant>> old;
+  for (const auto& [id, state] : owned_) {
+    for (AssertedGrant& grant :
+         state.allocator->GrantsOlderThan(age, SteadyClock::now())) {
+      old.emplace_back(id, std::move(grant));
+    }
+  }
+  return old;
+}
+
+Json AllocatorService::Describe() const {
+  Json cells = Json::array();
+  TimePoint now = SteadyClock::now();
+  for (const auto& [id, state] : owned_) {
+    auto summary = state.allocator->Summarize(now);
+    cells.push_back(Json{{"cell", id},
+                         {"backends", state.cell.backends.size()},
+                         {"grants", state.allocator->grants()},
+                         {"waiting", summary.waiting},
+                         {"free_slots", summary.free_slots}});
+  }
+  return cells;
+}
+
+void AllocatorService::Pump(CellState& state) {
+  if (state.allocator->waiting() == 0) {
+    return;
+  }
+  TimePoint now = SteadyClock::now();
+  for (SlotDecision& decision : state.allocator->Pump(now)) {
+    auto it = state.waiting.find(decision.id);
+    if (it == state.waiting.end()) {
+      state.allocator->Release(decision.id, now);
+      continue;
+    }
+    ReplyCallback callback = std::move(it->second);
+    state.waiting.erase(it);
+    callback(
+        Reply{std::move(decision.result), state.allocator->Summarize(now)});
+  }
+}
+
+void AllocatorService::PumpAll() {
+  for (auto& [id, state] : owned_) {
+    Pump(state);
+  }
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/daemon/control/slots/least_loaded_placement.h
@@ -0,0 +1,40 @@
+// The baseline placement: each entry polls the lagged load of all engines and
+// takes the least loaded ones, without a promise. For comparison only.
+
+#ifndef MANGOYOKE_DAEMON_CONTROL_SLOTS_LEAST_LOADED_PLACEMENT_H_
+#define MANGOYOKE_DAEMON_CONTROL_SLOTS_LEAST_LOADED_PLACEMENT_H_
+
+#include <map>
+#include <memory>
+#include <random>
+
+#include "daemon/control/control_context.h"
+#include "daemon/control/plan/plan_service.h"
+#include "daemon/control/slots/placement_policy.h"
+
+namespace mangoyoke {
+
+class LeastLoadedPlacement : public PlacementPolicy {
+ public:
+  LeastLoadedPlacement(ControlContext context, PlanService& plans);
+
+  void Reserve(SlotRequest request, GrantCallback callback) override;
+  void PrefillDone(const RequestId&) override {}
+  void Release(const RequestId&) override {}
+  void Observe(const RequestId&, const BackendObservation&) override {}
+  void OnTopologyChange() override {}
+
+ private:
+  void Poll();
+  BackendId LeastLoaded(const SlotRequest& request, BackendRole role);
+
+  ControlContext context_;
+  PlanService& plans_;
+  std::map<BackendId, int64_t> loads_;  // Running and queued, as reported.
+  std::minstd_rand random_;
+  std::unique_ptr<PeriodicTimer> timer_;
+};
+
+}  // namespace mangoyoke
+
+#endif  // MANGOYOKE_DAEMON_CONTROL_SLOTS_LEAST_LOADED_PLACEMENT_H_
--- /dev/null
+++ b/src/daemon/main.cc
@@ -0,0 +1,200 @@
+// mangoyoked: the daemon of one instance.
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <cxxopts.hpp>
+#include <future>
+#include <iostream>
+
+#include "base/log.h"
+#include "daemon/control/admin/admin_api.h"
+#include "daemon/control/control_plane.h"
+#include "daemon/settings.h"
+#include "daemon/supervisor.h"
+#include "daemon/traffic/traffic_worker.h"
+#include "http/http_dispatcher.h"
+
+namespace mangoyoke {
+namespace {
+
+constexpr int kExitSettings = 2;
+constexpr int kExitListen = 3;
+constexpr Duration kDrainPoll = Millis(50);
+
+LogLevel ParseLevel(const std::string& name) {
+  if (name == "debug") {
+    return LogLevel::kDebug;
+  }
+  if (name == "warning") {
+    return LogLevel::kWarning;
+  }
+  return name == "error" ? LogLevel::kError : LogLevel::kInfo;
+}
+
+// All parts of the process, in the order in which they depend on each other.
+class Daemon {
+ public:
+  explicit Daemon(Settings settings)
+      : settings_(std::move(settings)),
+        supervisor_(metrics_),
+        control_io_(supervisor_.AddLoop("control")),
+        control_(control_io_, settings_, metrics_),
+        admin_(control_, metrics_),
+        signals_(control_io_, SIGTERM, SIGINT),
+        drain_timer_(control_io_) {
+    for (int64_t i = 0; i < settings_.traffic_threads; ++i) {
+      AddWorker(static_cast<char>('a' + i % 26), i);
+    }
+  }
+
+  int Run() {
+    if (auto started = control_.Start(); !Ok(started)) {
+      return ReportListenError(std::get<Error>(started));
+    }
+    std::vector<DispatchTarget> targets;
+    for (size_t i = 0; i < workers_.size(); ++i) {
+      workers_[i]->Start();
+      targets.push_back(DispatchTarget{worker_loops_[i], workers_[i].get()});
+    }
+    HttpDispatcher caller_dispatcher(targets);
+    HttpDispatcher admin_dispatcher({DispatchTarget{&control_io_, &admin_}});
+    HttpServer callers(CallerOptions(), caller_dispatcher);
+    HttpServer admin(AdminOptions(), admin_dispatcher);
+    for (HttpServer* server : {&admin, &callers}) {
+      if (auto started = server->Start(); !Ok(started)) {
+        return ReportListenError(std::get<Error>(started));
+      }
+    }
+    WaitForSignal();
+    LogEvent("started")
+        .Field("callers", settings_.callers)
+        .Field("peers", settings_.peers);
+    supervisor_.Start();
+    stopped_.get_future().wait();
+    callers.Stop();
+    admin.Stop();
+    supervisor_.Stop();
+    LogEvent("stopped");
+    return 0;
+  }
+
+ private:
+  void AddWorker(char letter, int64_t index) {
+    std::string name = std::string(1, letter) + std::to_string(index) + "-";
+    auto& io = supervisor_.AddLoop("traffic-" + std::to_string(index));
+    worker_loops_.push_back(&io);
+    workers_.push_back(std::make_unique<TrafficWorker>(
+        io, name, settings_, metrics_, control_, accounts_));
+    TrafficWorker* worker = workers_.back().get();
+    control_.AddRunner(io, [worker](ServiceRequest request,
+                                    ControlGateway::OutcomeCallback callback) {
+      worker->services().Run(std::move(request), std::move(callback));
+    });
+  }
+
+  HttpServerOptions CallerOptions() const {
+    HttpServerOptions options;
+    options.address = settings_.callers;
+    options.threads = static_cast<int>(settings_.traffic_threads);
+    options.max_request_bytes =
+        static_cast<size_t>(settings_.max_request_bytes);
+    return options;
+  }
+
+  HttpServerOptions AdminOptions() const {
+    HttpServerOptions options;
+    options.address = settings_.admin;
+    options.threads = 1;
+    return options;
+  }
+
+  static int ReportListenError(const Error& error) {
+    std::cerr << error.detail << "\n";
+    return kExitListen;
+  }
+
+  void WaitForSignal() {
+    signals_.async_wait([this](const boost::system::error_code& error, int) {
+      if (!error) {
+        control_.Leave();
+        drain_started_ = SteadyClock::now();
+        PollDrain();
+      }
+    });
+  }
+
+  // Ends the process when nothing is open, after the leave notice.
+  void PollDrain() {
+    Duration waited = SteadyClock::now() - drain_started_;
+    size_t open = control_.OpenCalls();
+    for (const auto& worker : workers_) {
+      open += worker->open();
+    }
+    bool quiet = open == 0 && waited >= settings_.leave_notice + kDrainPoll * 2;
+    if (quiet || waited >= settings_.leave_limit) {
+      LogEvent("drained").Field("open", static_cast<int64_t>(open));
+      stopped_.set_value();
+      return;
+    }
+    drain_timer_.expires_after(kDrainPoll);
+    drain_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        PollDrain();
+      }
+    });
+  }
+
+  Settings settings_;
+  Metrics metrics_;
+  Supervisor supervisor_;
+  AccountCounter accounts_;
+  boost::asio::io_context& control_io_;
+  ControlPlane control_;
+  AdminApi admin_;
+  std::vector<boost::asio::io_context*> worker_loops_;
+  std::vector<std::unique_ptr<TrafficWorker>> workers_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer drain_timer_;
+  TimePoint drain_started_;
+  std::promise<void> stopped_;
+};
+
+int Main(int argc, char** argv) {
+  cxxopts::Options parser("mangoyoked", "Router for prefill and decode pools");
+  std::string path;
+  parser.add_options()("settings", "INI file", cxxopts::value(path))(
+      "check-settings", "check the settings and exit")("help", "this help");
+  parser.parse_positional({"settings"});
+  cxxopts::ParseResult arguments;
+  try {
+    arguments = parser.parse(argc, argv);
+  } catch (const cxxopts::exceptions::exception& exception) {
+    std::cerr << "mangoyoked: " << exception.what() << "\n";
+    return kExitSettings;
+  }
+  if (arguments.count("help") > 0 || path.empty()) {
+    std::cout << parser.help();
+    return path.empty() && arguments.count("help") == 0 ? kExitSettings : 0;
+  }
+  auto settings = LoadSettings(path);
+  if (const auto* error = std::get_if<Error>(&settings)) {
+    std::cerr << error->detail << "\n";
+    return kExitSettings;
+  }
+  if (arguments.count("check-settings") > 0) {
+    std::cout << path << ": settings are valid\n";
+    return 0;
+  }
+  const auto& valid = std::get<Settings>(settings);
+  InitLog(valid.id, ParseLevel(valid.log_level));
+  return Daemon(valid).Run();
+}
+
+}  // namespace
+}  // namespace mangoyoke
+
+int main(int argc, char** argv) {
+  return mangoyoke::Main(argc, argv);
+}
--- /dev/null
+++ b/src/daemon/settings.h
@@ -0,0 +1,61 @@
+// Settings of one instance, read from an INI file and checked key by key.
+
+#ifndef MANGOYOKE_DAEMON_SETTINGS_H_
+#define MANGOYOKE_DAEMON_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "mangoyoke/clock.h"
+#include "mangoyoke/error.h"
+#include "mangoyoke/plan.h"
+
+namespace mangoyoke {
+
+enum class PlacementKind { kReserving, kLeastLoaded };
+
+struct Settings {
+  // [instance]
+  InstanceId id;
+  ZoneId zone;
+  std::string region;
+  // [listen], each "IP:port".
+  std::string callers;
+  std::string admin;
+  std::string peers;
+  std::string advertised_peers;  // What other instances connect to.
+  // [platform]
+  std::string platform_url;
+  // [peers]
+  std::vector<std::string> known_peers;
+  // [limits]
+  int64_t traffic_threads = 2;
+  int64_t max_request_bytes = 4 << 20;
+  int64_t max_open_requests = 4000;
+  int64_t max_buffered_bytes = 256 << 10;  // For one slow caller.
+  // [timing]
+  Millis probe_interval{250};
+  Millis suspect_after{1000};
+  Millis dead_after{750};
+  Millis plan_read_interval{2000};
+  Millis leave_notice{3000};    // New work is still taken after SIGTERM.
+  Millis leave_limit{120'000};  // Open requests may finish.
+  Seconds entries_ttl{5};
+  Seconds ticket_life{600};
+  // [placement]
+  PlacementKind placement = PlacementKind::kReserving;
+  // [log]
+  std::string log_level = "info";
+
+  bool operator==(const Settings&) const = default;
+};
+
+// Parses settings; `file` names the text in errors.
+Result<Settings> ParseSettings(const std::string& text,
+                               const std::string& file);
+Result<Settings> LoadSettings(const std::string& path);
+
+}  // namespace mangoyoke
+
+#endif  // MANGOYOKE_DAEMON_SETTINGS_H_
--- /dev/null
+++ b/src/daemon/traffic/completion.cc
@@ -0,0 +1,560 @@
+// The course of one completion.
+
+#include "daemon/traffic/completion.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "base/log.h"
+#include "daemon/control/slots/slot_codec.h"
+#include "mangoyoke/prefix_index.h"
+
+namespace mangoyoke {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kMaxAttempts = 5;
+constexpr int kMaxResumes = 2;
+// A prefill that takes longer than predicted by this is given up.
+constexpr double kPrefillPatience = 4;
+constexpr Millis kPrefillSlack{500};
+// Longest wait for the first event of a decode server beyond the transfer.
+constexpr Millis kTransferSlack{1200};
+// Longest silence of a running stream.
+constexpr Millis kStreamSilence{1500};
+constexpr Millis kStreamTimeout{600'000};
+// A caller that takes nothing for this long is dropped.
+constexpr Duration kSlowCallerLimit = Seconds(30);
+// Tokens of one measurement of the time between tokens.
+constexpr int64_t kGapWindow = 8;
+constexpr double kSlowReport = 1.5;
+// A prediction below this is mostly overhead and says little.
+constexpr double kLeastPrefillMs = 20;
+constexpr int kGone = 410;
+constexpr double kBytesPerMegabyte = 1e6;
+
+Millis Patience(double predicted_ms, Millis slack) {
+  return Millis(static_cast<int64_t>(predicted_ms)) + slack;
+}
+
+}  // namespace
+
+Completion::Completion(TrafficContext& context,
+                       std::shared_ptr<const Plan> plan,
+                       std::string id,
+                       CompletionParameters parameters,
+                       std::shared_ptr<ResponseStream> stream)
+    : context_(context),
+      plan_(std::move(plan)),
+      model_(plan_->models.at(parameters.model)),
+      id_(std::move(id)),
+      parameters_(std::move(parameters)),
+      stream_(std::move(stream)),
+      started_(SteadyClock::now()),
+      stage_started_(started_),
+      sequencer_(parameters_.resume ? parameters_.resume->next : 0) {}
+
+Completion::~Completion() = default;
+
+void Completion::Start() {
+  context_.retries.OnRequest();
+  if (!parameters_.resume) {
+    Place();
+    return;
+  }
+  context_.metrics.Count("mangoyoke_resumes_total");
+  const ResumePoint& resume = *parameters_.resume;
+  if (!plan_->backends.contains(resume.decode)) {
+    Place();
+    return;
+  }
+  // The engine may still hold the stream of the entry that died.
+  attempt_id_ = resume.request_id;
+  grant_.decode = resume.decode;
+  stage_ = Stage::kDecode;
+  decoding_ = true;
+  ResumeDecode();
+}
+
+std::string Completion::UrlOf(const BackendId& backend) const {
+  auto it = plan_->backends.find(backend);
+  return it == plan_->backends.end() ? "" : it->second.url;
+}
+
+void Completion::Place() {
+  stage_ = Stage::kPlacing;
+  stage_started_ = SteadyClock::now();
+  ++attempts_;
+  resumes_ = 0;
+  attempt_id_ = id_ + "#" + std::to_string(attempts_);
+  splitter_ = EventSplitter();
+  sequencer_.DropHeld();
+  SlotRequest request;
+  request.id = attempt_id_;
+  request.owner = context_.gateway.Self();
+  request.model = parameters_.model;
+  request.account = parameters_.account;
+  if (auto account = plan_->accounts.find(parameters_.account);
+      account != plan_->accounts.end()) {
+    request.account_weight = account->second.weight;
+  }
+  request.priority = parameters_.priority;
+  bool accepted = delivered_ > 0 || parameters_.resume;
+  if (accepted) {
+    // An answer under way goes before new ones.
+    request.priority = 0;
+  }
+  // A later attempt gets a new target: the first one may be past.
+  request.deadline =
+      (attempts_ == 1 ? started_ : stage_started_) + model_.first_token_target;
+  request.prompt_tokens = EstimateTokens(parameters_.prompt);
+  request.prefix_hashes = PrefixHashes(parameters_.prompt);
+  request.exclude = failed_;
+  reserved_ = true;
+  context_.gateway.Reserve(
+      context_.io, std::move(request),
+      [weak = weak_from_this(), gateway = &context_.gateway,
+       attempt = attempt_id_](Result<SlotGrant> result) {
+        if (auto self = weak.lock()) {
+          self->OnGrant(attempt, std::move(result));
+        } else {
+          gateway->Release(attempt);
+        }
+      });
+}
+
+void Completion::OnGrant(const RequestId& attempt_id,
+                         Result<SlotGrant> result) {
+  if (done() || attempt_id != attempt_id_ || stage_ != Stage::kPlacing) {
+    return;  // Released already.
+  }
+  if (const auto* error = std::get_if<Error>(&result)) {
+    reserved_ = false;
+    Fail(*error);
+    return;
+  }
+  grant_ = std::get<SlotGrant>(result);
+  context_.metrics.Observe("mangoyoke_queue_ms",
+                           ToMillis(SteadyClock::now() - stage_started_));
+  Prefill();
+}
+
+void Completion::Prefill() {
+  stage_ = Stage::kPrefill;
+  stage_started_ = SteadyClock::now();
+  ClientRequest request;
+  request.method = "POST";
+  request.url = UrlOf(grant_.prefill) + "/v1/prefill";
+  request.timeout = Patience(grant_.predicted_ms * kPrefillPatience,
+                             kPrefillSlack + model_.first_token_target);
+  request.body = Json{{"request_id", attempt_id_},
+                      {"owner", PrintOwner(context_.gateway.Self())},
+                      {"model", parameters_.model},
+                      {"prompt", parameters_.prompt},
+                      {"priority", parameters_.priority}}
+                     .dump(-1, ' ', false, Json::error_handler_t::replace);
+  transfer_ = context_.http.Start(
+      std::move(request), [weak = weak_from_this()](ClientResponse response) {
+        if (auto self = weak.lock(); self && !self->done()) {
+          self->OnPrefill(response);
+        }
+      });
+}
+
+void Completion::OnPrefill(const ClientResponse& response) {
+  transfer_ = 0;
+  Json answer = Json::parse(response.body, nullptr, false);
+  if (!response.Succeeded() || !answer.is_object()) {
+    ObserveFailure(grant_.prefill);
+    Retry(response.end == TransferEnd::kTimeout ? "prefill_timeout"
+                                                : "prefill_failed",
+          grant_.prefill);
+    return;
+  }
+  double took_ms = ToMillis(SteadyClock::now() - stage_started_);
+  context_.metrics.Observe("mangoyoke_prefill_ms", took_ms);
+  context_.gateway.PrefillDone(attempt_id_);
+  double predicted_ms = std::max(kLeastPrefillMs, grant_.predicted_ms);
+  context_.gateway.Observe(
+      attempt_id_,
+      BackendObservation{grant_.prefill, took_ms / predicted_ms, false});
+  Decode(answer.value("handle", ""));
+}
+
+void Completion::Decode(const std::string& handle) {
+  stage_ = Stage::kDecode;
+  decoding_ = true;
+  ClientRequest request;
+  request.method = "POST";
+  request.url = UrlOf(grant_.decode) + "/v1/decode";
+  request.body = Json{{"request_id", attempt_id_},
+                      {"owner", PrintOwner(context_.gateway.Self())},
+                      {"model", parameters_.model},
+                      {"source", UrlOf(grant_.prefill)},
+                      {"handle", handle},
+                      {"max_tokens", parameters_.max_tokens},
+                      {"offset", sequencer_.next()},
+                      {"priority", parameters_.priority}}
+                     .dump();
+  ReadStream(std::move(request));
+}
+
+void Completion::ResumeDecode() {
+  ++resumes_;
+  splitter_ = EventSplitter();
+  sequencer_.DropHeld();
+  ClientRequest request;
+  request.url = UrlOf(grant_.decode) + "/v1/resume?request_id=";
+  for (char c : attempt_id_) {
+    request.url += c == '#' ? std::string("%23") : std::string(1, c);
+  }
+  request.url += "&offset=" + std::to_string(sequencer_.next());
+  ReadStream(std::move(request));
+}
+
+void Completion::ReadStream(ClientRequest request) {
+  stage_started_ = SteadyClock::now();
+  last_data_ = TimePoint{};
+  gap_tokens_ = 0;
+  request.timeout = kStreamTimeout;
+  transfer_ = context_.http.Start(
+      std::move(request),
+      [weak = weak_from_this()](ClientResponse response) {
+        if (auto self = weak.lock(); self && !self->done()) {
+          self->transfer_ = 0;
+          self->OnStreamEnd(response);
+        }
+      },
+      [weak = weak_from_this()](int status, std::string_view data) {
+        if (auto self = weak.lock(); self && !self->done()) {
+          self->OnStreamData(status, data);
+        }
+      });
+}
+
+void Completion::OnStreamData(int status, std::string_view data) {
+  constexpr int kOk = 200;
+  if (status != kOk) {
+    return;  // The status decides at the end.
+  }
+  last_data_ = SteadyClock::now();
+  splitter_.Push(data);
+  std::string event;
+  while (!done() && splitter_.Next(event)) {
+    OnEvent(event);
+  }
+}
+
+void Completion::OnEvent(const std::string& data) {
+  Json event = Json::parse(data, nullptr, false);
+  if (!event.is_object()) {
+    return;
+  }
+  if (event.contains("done")) {
+    total_ = event.value("n", int64_t{0});
+  } else if (event.contains("i") && event.contains("t")) {
+    int64_t index = sequencer_.next();
+    for (const std::string& token : sequencer_.Push(
+             event["i"].get<int64_t>(), event["t"].get<std::string>())) {
+      Deliver(token, index++);
+    }
+  }
+  if (total_ >= 0 && sequencer_.next() >= total_) {
+    Finish();
+  }
+}
+
+void Completion::OnStreamEnd(const ClientResponse& response) {
+  constexpr int kOk = 200;
+  if (response.status == kGone) {
+    // The KV cache was gone before the transfer: that prefill was wasted.
+    context_.metrics.Count("mangoyoke_wasted_prefills_total");
+    Retry("kv_expired", "");
+    return;
+  }
+  bool streamed = response.status == kOk;
+  if (streamed && resumes_ < kMaxResumes) {
+    context_.metrics.Count("mangoyoke_retries_total", "reason",
+                           "stream_resumed");
+    ResumeDecode();
+    return;
+  }
+  bool resuming = parameters_.resume && attempts_ == 0;
+  if (!resuming) {
+    ObserveFailure(grant_.decode);
+  }
+  Retry(resuming ? "resume_elsewhere" : "decode_failed",
+        resuming ? "" : grant_.decode);
+}
+
+void Completion::Deliver(const std::string& token, int64_t index) {
+  TimePoint now = SteadyClock::now();
+  if (delivered_ == 0) {
+    first_token_ = now;
+    context_.metrics.Observe("mangoyoke_first_token_ms",
+                             ToMillis(now - started_));
+  }
+  last_token_ = now;
+  ++delivered_;
+  if (gap_tokens_++ == 0) {
+    gap_since_ = now;
+  } else if (gap_tokens_ > kGapWindow) {
+    ObserveGap();
+  }
+  if (parameters_.stream) {
+    WriteToken(token, index);
+  } else {
+    text_ += token;
+  }
+}
+
+void Completion::ObserveGap() {
+  double gap_ms = ToMillis(SteadyClock::now() - gap_since_) /
+                  static_cast<double>(gap_tokens_ - 1);
+  gap_tokens_ = 0;
+  double slowness =
+      gap_ms / static_cast<double>(model_.token_gap_target.count());
+  bool slow = slowness > kSlowReport;
+  bool first_window = delivered_ <= kGapWindow + 1;
+  // Reported early and when it changes, not for each window.
+  if (first_window || slow || reported_slow_) {
+    context_.gateway.Observe(
+        attempt_id_, BackendObservation{grant_.decode, slowness, false});
+  }
+  reported_slow_ = slow;
+}
+
+void Completion::WriteToken(const std::string& token, int64_t index) {
+  if (!stream_->started()) {
+    stream_->StartChunks(200, "text/event-stream", {{"X-Request-Id", id_}});
+  }
+  Json choice{{"index", 0}, {"finish_reason", nullptr}};
+  if (parameters_.chat) {
+    choice["delta"] = Json{{"content", token}};
+  } else {
+    choice["text"] = token;
+  }
+  Json chunk{{"id", id_},
+             {"object",
+              parameters_.chat ? "chat.completion.chunk" : "text_completion"},
+             {"model", parameters_.model},
+             {"choices", Json::array({std::move(choice)})}};
+  std::string event = "id: ";
+  event.append(PrintEventId(attempt_id_, grant_.decode, index))
+      .append("\ndata: ")
+      .append(chunk.dump())
+      .append("\n\n");
+  stream_->WriteChunk(event);
+}
+
+void Completion::Finish() {
+  TimePoint now = SteadyClock::now();
+  if (parameters_.stream) {
+    if (!stream_->started()) {
+      stream_->StartChunks(200, "text/event-stream", {{"X-Request-Id", id_}});
+    }
+    Json choice{{"index", 0}, {"finish_reason", "length"}};
+    choice[parameters_.chat ? "delta" : "text"] =
+        parameters_.chat ? Json::object() : Json("");
+    Json chunk{{"id", id_},
+               {"object",
+                parameters_.chat ? "chat.completion.chunk" : "text_completion"},
+               {"model", parameters_.model},
+               {"choices", Json::array({choice})}};
+    stream_->WriteChunk("data: " + chunk.dump() + "\n\ndata: [DONE]\n\n");
+    stream_->FinishChunks();
+  } else {
+    SendJson(stream_, 200, AnswerJson(), {{"X-Request-Id", id_}});
+  }
+  double gap_ms = delivered_ > 1 ? ToMillis(last_token_ - first_token_) /
+                                       static_cast<double>(delivered_ - 1)
+                                 : 0;
+  bool in_target =
+      first_token_ - started_ <= model_.first_token_target &&
+      gap_ms <= static_cast<double>(model_.token_gap_target.count());
+  context_.metrics.Count("mangoyoke_completions_total", "targets",
+                         in_target ? "met" : "missed");
+  context_.metrics.Observe("mangoyoke_token_gap_ms", gap_ms);
+  context_.metrics.Observe("mangoyoke_completion_ms", ToMillis(now - started_));
+  decoding_ = false;  // The engine has ended it.
+  transfer_ = 0;      // Ends by itself; the connection can be used again.
+  LogEnd("complete");
+  End();
+}
+
+std::string Completion::AnswerJson() const {
+  Json choice{{"index", 0}, {"finish_reason", "length"}};
+  if (parameters_.chat) {
+    choice["message"] = Json{{"role", "assistant"}, {"content", text_}};
+  } else {
+    choice["text"] = text_;
+  }
+  int64_t prompt_tokens = EstimateTokens(parameters_.prompt);
+  return Json{
+      {"id", id_},
+      {"object", parameters_.chat ? "chat.completion" : "text_completion"},
+      {"model", parameters_.model},
+      {"choices", Json::array({choice})},
+      {"usage", Json{{"prompt_tokens", prompt_tokens},
+                     {"completion_tokens", delivered_},
+                     {"total_tokens", prompt_tokens + delivered_}}}}
+      .dump();
+}
+
+void Completion::Retry(std::string_view reason, const BackendId& failed) {
+  context_.metrics.Count("mangoyoke_retries_total", "reason", reason);
+  LogEvent("completion_retry", LogLevel::kDebug)
+      .Field("request", attempt_id_)
+      .Field("reason", reason)
+      .Field("backend", failed);
+  EndAttempt();
+  if (!failed.empty()) {
+    failed_.push_back(failed);
+  }
+  bool accepted = delivered_ > 0 || parameters_.resume.has_value();
+  if (attempts_ >= kMaxAttempts ||
+      (!context_.retries.TryRetry() && !accepted)) {
+    Fail(Error{ErrorCode::kBackendBroken, std::string(reason)});
+    return;
+  }
+  Place();
+}
+
+void Completion::Fail(const Error& error) {
+  if (stream_->started()) {
+    context_.metrics.Count("mangoyoke_broken_answers_total", "reason",
+                           InfoOf(error.code).name);
+    stream_->WriteChunk("data: " + ErrorJson(error) + "\n\n");
+    stream_->Abort();  // The caller must not take it for a whole answer.
+  } else {
+    Refuse(context_.metrics, stream_, error);
+  }
+  LogEnd(InfoOf(error.code).name);
+  End();
+}
+
+void Completion::ObserveFailure(const BackendId& backend) {
+  context_.gateway.Observe(attempt_id_, BackendObservation{backend, 0, true});
+}
+
+void Completion::CancelEngines() {
+  auto cancel = [this](const BackendId& backend) {
+    ClientRequest request;
+    request.method = "POST";
+    request.url = UrlOf(backend) + "/v1/cancel";
+    request.body = Json{{"request_id", attempt_id_}}.dump();
+    context_.http.Start(std::move(request), [](ClientResponse) {});
+  };
+  bool may_hold_kv = stage_ == Stage::kPrefill ||
+                     (stage_ == Stage::kDecode && last_data_ == TimePoint{});
+  if (may_hold_kv && !grant_.prefill.empty()) {
+    cancel(grant_.prefill);
+  }
+  if (decoding_ && !grant_.decode.empty()) {
+    cancel(grant_.decode);
+  }
+}
+
+void Completion::EndAttempt() {
+  context_.http.Cancel(transfer_);
+  transfer_ = 0;
+  if (stage_ != Stage::kPlacing) {
+    CancelEngines();
+  }
+  if (std::exchange(reserved_, false)) {
+    context_.gateway.Release(attempt_id_);
+  }
+  decoding_ = false;
+  grant_ = SlotGrant{};
+}
+
+void Completion::End() {
+  if (decoding_ || stage_ == Stage::kPrefill) {
+    EndAttempt();
+  } else {
+    context_.http.Cancel(transfer_);
+    if (std::exchange(reserved_, false)) {
+      context_.gateway.Release(attempt_id_);
+    }
+  }
+  stage_ = Stage::kDone;
+}
+
+void Completion::CallerGone() {
+  if (done()) {
+    return;
+  }
+  context_.metrics.Count("mangoyoke_callers_gone_total");
+  LogEnd("caller_gone");
+  EndAttempt();
+  stage_ = Stage::kDone;
+}
+
+void Completion::Tick(TimePoint now) {
+  if (done()) {
+    return;
+  }
+  if (stream_->failed()) {
+    CallerGone();
+    return;
+  }
+  if (now - started_ > parameters_.deadline) {
+    Fail(Error{ErrorCode::kBackendTimeout, "the caller's deadline passed"});
+    return;
+  }
+  ControlFlow(now);
+  if (done() || stage_ != Stage::kDecode || paused_ || transfer_ == 0) {
+    return;
+  }
+  if (last_data_ == TimePoint{}) {
+    double bytes = static_cast<double>(EstimateTokens(parameters_.prompt)) *
+                   static_cast<double>(model_.kv_bytes_per_token);
+    auto decode = plan_->backends.find(grant_.decode);
+    double rate = decode == plan_->backends.end()
+                      ? 1
+                      : static_cast<double>(decode->second.link_mb_per_s);
+    double transfer_ms = bytes / (rate * kBytesPerMegabyte) * 1000;
+    if (now - stage_started_ > Patience(transfer_ms, kTransferSlack)) {
+      Retry("transfer_stalled", grant_.prefill);
+    }
+    return;
+  }
+  if (now - last_data_ > kStreamSilence) {
+    context_.http.Cancel(transfer_);
+    transfer_ = 0;
+    ObserveFailure(grant_.decode);
+    Retry("stream_stalled", grant_.decode);
+  }
+}
+
+void Completion::ControlFlow(TimePoint now) {
+  auto limit = static_cast<size_t>(context_.settings.max_buffered_bytes);
+  size_t pending = stream_->PendingBytes();
+  if (!paused_ && pending > limit && transfer_ != 0) {
+    paused_ = true;
+    paused_since_ = now;
+    context_.metrics.Count("mangoyoke_slow_callers_total");
+    context_.http.Pause(transfer_, true);
+  } else if (paused_ && pending < limit / 2) {
+    paused_ = false;
+    last_data_ = now;
+    gap_tokens_ = 0;
+    context_.http.Pause(transfer_, false);
+  } else if (paused_ && now - paused_since_ > kSlowCallerLimit) {
+    stream_->Abort();
+    CallerGone();
+  }
+}
+
+void Completion::LogEnd(std::string_view result) const {
+  LogEvent("completion")
+      .Field("request", id_)
+      .Field("account", parameters_.account)
+      .Field("result", result)
+      .Field("attempts", static_cast<int64_t>(attempts_))
+      .Field("tokens", delivered_)
+      .Field("ms", ToMillis(SteadyClock::now() - started_));
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/daemon/traffic/event_splitter.h
@@ -0,0 +1,42 @@
+// Splits a stream of server-sent events into their data.
+
+#ifndef MANGOYOKE_DAEMON_TRAFFIC_EVENT_SPLITTER_H_
+#define MANGOYOKE_DAEMON_TRAFFIC_EVENT_SPLITTER_H_
+
+#include <string>
+#include <string_view>
+
+namespace mangoyoke {
+
+class EventSplitter {
+ public:
+  // Appends received bytes.
+  void Push(std::string_view bytes) { buffer_.append(bytes); }
+
+  // Takes the data of the next whole event. Returns false if there is none.
+  bool Next(std::string& data) {
+    constexpr std::string_view kEnd = "\n\n";
+    constexpr std::string_view kData = "data: ";
+    size_t end = buffer_.find(kEnd, start_);
+    if (end == std::string::npos) {
+      buffer_.erase(0, start_);
+      start_ = 0;
+      return false;
+    }
+    std::string_view event(buffer_.data() + start_, end - start_);
+    start_ = end + kEnd.size();
+    size_t position = event.find(kData);
+    data = position == std::string_view::npos
+               ? std::string()
+               : std::string(event.substr(position + kData.size()));
+    return true;
+  }
+
+ private:
+  std::string buffer_;
+  size_t start_ = 0;  // Events before this were taken.
+};
+
+}  // namespace mangoyoke
+
+#endif  // MANGOYOKE_DAEMON_TRAFFIC_EVENT_SPLITTER_H_
--- /dev/null
+++ b/src/daemon/traffic/refusal.cc
@@ -0,0 +1,52 @@
+// Error answers to callers.
+
+#include <nlohmann/json.hpp>
+
+#include "daemon/traffic/traffic_context.h"
+
+namespace mangoyoke {
+namespace {
+
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+constexpr int kRetryAfterSeconds = 1;
+
+// Only a refusal that may pass by waiting tells when to come back.
+bool MayComeBack(const ErrorInfo& info) {
+  return info.http_status == kTooManyRequests ||
+         info.http_status == kUnavailable;
+}
+
+}  // namespace
+
+std::string ErrorJson(const Error& error) {
+  const ErrorInfo& info = InfoOf(error.code);
+  nlohmann::json body{
+      {"code", static_cast<int>(error.code)},
+      {"reason", info.name},
+      {"message", info.message},
+      {"execution",
+       info.execution == Execution::kNotRun ? "not_run" : "unknown"}};
+  if (!error.detail.empty()) {
+    body["detail"] = error.detail;
+  }
+  if (MayComeBack(info)) {
+    body["retry_after_s"] = kRetryAfterSeconds;
+  }
+  return nlohmann::json{{"error", body}}.dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void Refuse(Metrics& metrics,
+            const std::shared_ptr<ResponseStream>& stream,
+            const Error& error) {
+  const ErrorInfo& info = InfoOf(error.code);
+  metrics.Count("mangoyoke_refusals_total", "reason", info.name);
+  HttpHeaders headers;
+  if (MayComeBack(info)) {
+    headers.emplace_back("Retry-After", std::to_string(kRetryAfterSeconds));
+  }
+  SendJson(stream, info.http_status, ErrorJson(error), headers);
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/daemon/traffic/service_runner.cc
@@ -0,0 +1,234 @@
+// Attempts, retries and hedges of service calls.
+
+#include "daemon/traffic/service_runner.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+
+#include "base/log.h"
+
+namespace mangoyoke {
+namespace {
+
+constexpr double kSmoothing = 0.1;
+// A hedge starts after this multiple of the mean latency plus a floor.
+constexpr double kHedgeFactor = 4;
+constexpr double kHedgeFloorMs = 20;
+constexpr size_t kMaxAttempts = 4;
+constexpr Millis kConnectTimeout{500};
+
+}  // namespace
+
+struct ServiceRunner::Call {
+  explicit Call(boost::asio::io_context& io) : hedge(io) {}
+
+  ServiceRequest request;
+  Callback callback;
+  std::shared_ptr<const Plan> plan;
+  bool idempotent = false;
+  TimePoint started;
+  TimePoint deadline;
+  std::vector<BackendId> tried;
+  std::map<BackendId, TransferId> transfers;  // Attempts under way.
+  boost::asio::steady_timer hedge;
+  bool done = false;
+  Error last_error;
+};
+
+ServiceRunner::ServiceRunner(TrafficContext& context) : context_(context) {}
+ServiceRunner::~ServiceRunner() = default;
+
+ServiceRunner::ServiceState& ServiceRunner::StateOf(const Service& service) {
+  // Each traffic thread has its share of the instance's limit.
+  int64_t threads = context_.settings.traffic_threads;
+  int64_t share = (service.max_concurrent + threads - 1) / threads;
+  auto [it, inserted] = services_.try_emplace(service.id, share);
+  it->second.limit.SetMaximum(share);
+  return it->second;
+}
+
+void ServiceRunner::Run(ServiceRequest request, Callback callback) {
+  auto plan = context_.gateway.CurrentPlan();
+  if (!plan || !plan->services.contains(request.service)) {
+    callback(Error{ErrorCode::kUnknownService, request.service});
+    return;
+  }
+  const Service& service = plan->services.at(request.service);
+  if (!StateOf(service).limit.TryAcquire()) {
+    callback(Error{ErrorCode::kServiceLimit, request.service});
+    return;
+  }
+  ++open_;
+  context_.retries.OnRequest();
+  auto call = std::make_shared<Call>(context_.io);
+  call->plan = plan;
+  call->callback = std::move(callback);
+  call->idempotent =
+      plan->IsIdempotent(request.service, request.method, request.path);
+  call->started = SteadyClock::now();
+  call->deadline =
+      call->started + std::min(service.timeout, Millis(request.deadline_ms));
+  call->request = std::move(request);
+  Attempt(call);
+}
+
+std::vector<BackendId> ServiceRunner::Candidates(const Plan& plan,
+                                                 const ServiceId& service) {
+  TimePoint now = SteadyClock::now();
+  std::vector<BackendId> healthy;
+  std::vector<BackendId> ejected;
+  for (const auto& [id, backend] : plan.backends) {
+    if (backend.role != BackendRole::kService || backend.service != service ||
+        backend.leaving) {
+      continue;
+    }
+    auto health = stragglers_.HealthOf(id, now);
+    (health == StragglerDetector::Health::kEjected ? ejected : healthy)
+        .push_back(id);
+  }
+  std::stable_sort(healthy.begin(), healthy.end(),
+                   [this](const BackendId& left, const BackendId& right) {
+                     return in_flight_[left] < in_flight_[right];
+                   });
+  healthy.insert(healthy.end(), ejected.begin(), ejected.end());
+  return healthy;
+}
+
+void ServiceRunner::Attempt(const std::shared_ptr<Call>& call) {
+  TimePoint now = SteadyClock::now();
+  BackendId chosen;
+  for (const BackendId& id : Candidates(*call->plan, call->request.service)) {
+    if (std::find(call->tried.begin(), call->tried.end(), id) ==
+        call->tried.end()) {
+      chosen = id;
+      break;
+    }
+  }
+  if (chosen.empty() || now >= call->deadline ||
+      call->tried.size() >= kMaxAttempts) {
+    if (call->transfers.empty()) {
+      Error none{ErrorCode::kNoBackend, call->request.service};
+      Finish(call, call->tried.empty() ? none : call->last_error);
+    }
+    return;
+  }
+  call->tried.push_back(chosen);
+  const Backend& backend = call->plan->backends.at(chosen);
+  ClientRequest request;
+  request.method = call->request.method;
+  request.url = backend.url + call->request.path;
+  request.body = call->request.body;
+  request.connect_timeout = kConnectTimeout;
+  request.timeout = std::max(
+      Millis(1), std::chrono::duration_cast<Millis>(call->deadline - now));
+  request.fresh_connection = !call->idempotent;
+  if (!call->request.content_type.empty()) {
+    request.headers.emplace_back("Content-Type", call->request.content_type);
+  }
+  if (!call->request.key.empty()) {
+    request.headers.emplace_back("Idempotency-Key", call->request.key);
+  }
+  if (!call->request.account.empty()) {
+    request.headers.emplace_back("X-Client-Account", call->request.account);
+  }
+  ++in_flight_[chosen];
+  call->transfers[chosen] = context_.http.Start(
+      std::move(request), [this, call, chosen, now](ClientResponse response) {
+        OnAnswer(call, chosen, now, std::move(response));
+      });
+  ArmHedge(call);
+}
+
+void ServiceRunner::ArmHedge(const std::shared_ptr<Call>& call) {
+  double mean_ms =
+      StateOf(call->plan->services.at(call->request.service)).mean_ms;
+  if (!call->idempotent || call->tried.size() > 1 || mean_ms <= 0) {
+    return;
+  }
+  call->hedge.expires_after(FromMillis(mean_ms * kHedgeFactor + kHedgeFloorMs));
+  call->hedge.async_wait([this, call](const boost::system::error_code& error) {
+    if (error || call->done || !context_.retries.TryRetry()) {
+      return;
+    }
+    context_.metrics.Count("mangoyoke_retries_total", "reason", "hedge");
+    Attempt(call);
+  });
+}
+
+void ServiceRunner::OnAnswer(const std::shared_ptr<Call>& call,
+                             const BackendId& backend,
+                             TimePoint sent,
+                             ClientResponse response) {
+  call->transfers.erase(backend);
+  --in_flight_[backend];
+  if (call->done) {
+    return;
+  }
+  if (response.end != TransferEnd::kComplete) {
+    OnFailure(call, backend, response);
+    return;
+  }
+  ServiceState& state = StateOf(call->plan->services.at(call->request.service));
+  double took_ms = ToMillis(SteadyClock::now() - sent);
+  state.mean_ms = state.mean_ms == 0
+                      ? took_ms
+                      : state.mean_ms + kSmoothing * (took_ms - state.mean_ms);
+  Finish(call, ServiceAnswer{response.status, response.content_type,
+                             std::move(response.body)});
+}
+
+void ServiceRunner::OnFailure(const std::shared_ptr<Call>& call,
+                              const BackendId& backend,
+                              const ClientResponse& response) {
+  stragglers_.Failed(backend, Candidates(*call->plan, call->request.service),
+                     SteadyClock::now());
+  bool not_connected = response.end == TransferEnd::kNotConnected;
+  ErrorCode code = not_connected ? ErrorCode::kConnectFailed
+                   : response.end == TransferEnd::kTimeout
+                       ? ErrorCode::kBackendTimeout
+                       : ErrorCode::kBackendBroken;
+  call->last_error = Error{code, backend + ": " + response.error};
+  if (not_connected) {
+    // No byte left this process: another server may run it.
+    context_.metrics.Count("mangoyoke_retries_total", "reason",
+                           "connect_failed");
+    Attempt(call);
+    return;
+  }
+  if (call->idempotent && context_.retries.TryRetry()) {
+    context_.metrics.Count("mangoyoke_retries_total", "reason",
+                           InfoOf(code).name);
+    Attempt(call);
+    return;
+  }
+  if (call->transfers.empty()) {
+    Finish(call, call->last_error);
+  }
+}
+
+void ServiceRunner::Finish(const std::shared_ptr<Call>& call, Outcome outcome) {
+  if (std::exchange(call->done, true)) {
+    return;
+  }
+  TimePoint now = SteadyClock::now();
+  call->hedge.cancel();
+  for (const auto& [backend, transfer] : call->transfers) {
+    context_.http.Cancel(transfer);
+    --in_flight_[backend];
+  }
+  call->transfers.clear();
+  Duration took = now - call->started;
+  StateOf(call->plan->services.at(call->request.service))
+      .limit.Release(took, Ok(outcome), now);
+  --open_;
+  context_.metrics.Observe("mangoyoke_service_ms", ToMillis(took));
+  const auto* error = std::get_if<Error>(&outcome);
+  LogEvent("service_call")
+      .Field("service", call->request.service)
+      .Field("key", call->request.key)
+      .Field("result", error != nullptr ? InfoOf(error->code).name : "answered")
+      .Field("ms", ToMillis(took));
+  call->callback(std::move(outcome));
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/daemon/traffic/traffic_worker.cc
@@ -0,0 +1,263 @@
+// Routing of callers' requests.
+
+#include "daemon/traffic/traffic_worker.h"
+
+#include <nlohmann/json.hpp>
+
+#include "base/log.h"
+
+namespace mangoyoke {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration kTickInterval = Millis(25);
+constexpr std::string_view kServices = "/services/";
+constexpr Millis kDefaultCallDeadline{30'000};
+
+// "/services/<service>/<rest>" with the query.
+struct ServicePath {
+  ServiceId service;
+  std::string rest;
+};
+
+ServicePath SplitServicePath(const ServerRequest& request) {
+  std::string path = request.path.substr(kServices.size());
+  size_t slash = path.find('/');
+  ServicePath result;
+  result.service = path.substr(0, slash);
+  result.rest = slash == std::string::npos ? "/" : path.substr(slash);
+  char separator = '?';
+  for (const auto& [key, value] : request.query) {
+    result.rest += separator + key + "=" + value;
+    separator = '&';
+  }
+  return result;
+}
+
+}  // namespace
+
+TrafficWorker::TrafficWorker(boost::asio::io_context& io,
+                             std::string name,
+                             const Settings& settings,
+                             Metrics& metrics,
+                             ControlGateway& gateway,
+                             AccountCounter& accounts)
+    : name_(std::move(name)),
+      http_(io),
+      context_{io, settings, metrics, gateway, accounts, http_, retries_},
+      services_(context_),
+      timer_(io) {}
+
+void TrafficWorker::Start() {
+  Arm();
+}
+
+void TrafficWorker::Arm() {
+  timer_.expires_after(kTickInterval);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) {
+      return;
+    }
+    Arm();
+    Tick();
+  });
+}
+
+void TrafficWorker::Handle(ServerRequest request,
+                           std::shared_ptr<ResponseStream> stream) {
+  const std::string& path = request.path;
+  if (path == "/v1/completions" || path == "/v1/chat/completions") {
+    HandleCompletion(request, stream);
+  } else if (path.starts_with(kServices)) {
+    HandleService(request, stream);
+  } else if (path == "/v1/entries") {
+    HandleEntries(request, stream);
+  } else if (path == "/v1/models") {
+    HandleModels(stream);
+  } else if (path == "/healthz") {
+    auto refusal = context_.gateway.RefusesWork();
+    if (refusal) {
+      Refuse(context_.metrics, stream, Error{*refusal, ""});
+    } else {
+      SendJson(stream, 200, Json{{"ok", true}}.dump());
+    }
+  } else {
+    Refuse(context_.metrics, stream, Error{ErrorCode::kUnknownPath, path});
+  }
+}
+
+std::optional<Error> TrafficWorker::Admit(const Plan& plan,
+                                          const AccountId& account) {
+  auto maximum = static_cast<size_t>(context_.settings.max_open_requests);
+  if (open_ >= maximum) {
+    return Error{ErrorCode::kQueueFull, "open requests of this instance"};
+  }
+  auto it = plan.accounts.find(account);
+  int64_t limit = it == plan.accounts.end()
+                      ? context_.settings.max_open_requests
+                      : it->second.max_requests;
+  if (!context_.accounts.TryAcquire(account, limit)) {
+    return Error{ErrorCode::kAccountLimit, account};
+  }
+  return std::nullopt;
+}
+
+void TrafficWorker::HandleCompletion(
+    const ServerRequest& request,
+    const std::shared_ptr<ResponseStream>& stream) {
+  if (auto refusal = context_.gateway.RefusesWork()) {
+    Refuse(context_.metrics, stream, Error{*refusal, ""});
+    return;
+  }
+  auto plan = context_.gateway.CurrentPlan();
+  auto parsed = ParseCompletion(request, *plan);
+  if (const auto* error = std::get_if<Error>(&parsed)) {
+    Refuse(context_.metrics, stream, *error);
+    return;
+  }
+  auto& parameters = std::get<CompletionParameters>(parsed);
+  AccountId account = parameters.account;
+  if (auto refusal = Admit(*plan, account)) {
+    Refuse(context_.metrics, stream, *refusal);
+    return;
+  }
+  const RequestOwner& self = context_.gateway.Self();
+  std::string id = self.instance + "-" + std::to_string(self.incarnation) +
+                   "-" + name_ + std::to_string(++last_id_);
+  auto completion = std::make_shared<Completion>(context_, plan, id,
+                                                 std::move(parameters), stream);
+  completions_[id] = OpenCompletion{completion, account, request.connection_id};
+  CountOpen();
+  completion->Start();
+}
+
+void TrafficWorker::HandleService(
+    const ServerRequest& request,
+    const std::shared_ptr<ResponseStream>& stream) {
+  if (auto refusal = context_.gateway.RefusesWork()) {
+    Refuse(context_.metrics, stream, Error{*refusal, ""});
+    return;
+  }
+  auto plan = context_.gateway.CurrentPlan();
+  auto headers = ParseCallerHeaders(request, *plan, kDefaultCallDeadline);
+  if (const auto* error = std::get_if<Error>(&headers)) {
+    Refuse(context_.metrics, stream, *error);
+    return;
+  }
+  const auto& caller = std::get<CallerHeaders>(headers);
+  ServicePath path = SplitServicePath(request);
+  if (!plan->services.contains(path.service)) {
+    Refuse(context_.metrics, stream,
+           Error{ErrorCode::kUnknownService, path.service});
+    return;
+  }
+  ServiceRequest call;
+  call.service = path.service;
+  call.method = request.method;
+  call.path = path.rest;
+  call.content_type = request.Header("content-type");
+  call.body = request.body;
+  call.account = caller.account;
+  call.key = request.Header("idempotency-key");
+  call.deadline_ms = caller.deadline.count();
+  bool idempotent = plan->IsIdempotent(call.service, call.method, call.path);
+  if (!idempotent && call.key.empty()) {
+    Refuse(context_.metrics, stream, Error{ErrorCode::kMissingKey, ""});
+    return;
+  }
+  if (auto refusal = Admit(*plan, caller.account)) {
+    Refuse(context_.metrics, stream, *refusal);
+    return;
+  }
+  ++open_calls_;
+  CountOpen();
+  auto finish = [this, stream, account = caller.account](Outcome outcome) {
+    context_.accounts.Release(account);
+    --open_calls_;
+    CountOpen();
+    AnswerService(stream, outcome);
+  };
+  if (idempotent) {
+    services_.Run(std::move(call), finish);
+  } else {
+    context_.gateway.CallOnce(context_.io, std::move(call), finish);
+  }
+}
+
+void TrafficWorker::AnswerService(const std::shared_ptr<ResponseStream>& stream,
+                                  const Outcome& outcome) {
+  if (const auto* error = std::get_if<Error>(&outcome)) {
+    Refuse(context_.metrics, stream, *error);
+    return;
+  }
+  const auto& answer = std::get<ServiceAnswer>(outcome);
+  std::string type = answer.content_type.empty() ? "application/octet-stream"
+                                                 : answer.content_type;
+  stream->Send(answer.status, type, answer.body);
+}
+
+void TrafficWorker::HandleEntries(
+    const ServerRequest& request,
+    const std::shared_ptr<ResponseStream>& stream) {
+  ZoneId zone(request.Query("zone"));
+  if (zone.empty()) {
+    zone = context_.settings.zone;
+  }
+  context_.gateway.Entries(
+      context_.io, zone,
+      [this, stream](const std::vector<EntryAddress>& entries) {
+        Json list = Json::array();
+        for (const EntryAddress& entry : entries) {
+          list.push_back(Json{{"instance", entry.instance},
+                              {"zone", entry.zone},
+                              {"address", entry.address},
+                              {"ticket", entry.ticket}});
+        }
+        SendJson(stream, 200,
+                 Json{{"ttl_s", context_.settings.entries_ttl.count()},
+                      {"ticket_life_s", context_.settings.ticket_life.count()},
+                      {"entries", list}}
+                     .dump());
+      });
+}
+
+void TrafficWorker::HandleModels(
+    const std::shared_ptr<ResponseStream>& stream) {
+  Json data = Json::array();
+  if (auto plan = context_.gateway.CurrentPlan()) {
+    for (const auto& [id, model] : plan->models) {
+      data.push_back(
+          Json{{"id", id}, {"object", "model"}, {"version", model.version}});
+    }
+  }
+  SendJson(stream, 200, Json{{"object", "list"}, {"data", data}}.dump());
+}
+
+void TrafficWorker::CallerGone(uint64_t connection_id) {
+  for (auto& [id, open] : completions_) {
+    if (open.connection_id == connection_id) {
+      open.completion->CallerGone();
+    }
+  }
+}
+
+void TrafficWorker::Tick() {
+  TimePoint now = SteadyClock::now();
+  for (auto it = completions_.begin(); it != completions_.end();) {
+    it->second.completion->Tick(now);
+    if (it->second.completion->done()) {
+      context_.accounts.Release(it->second.account);
+      it = completions_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  CountOpen();
+}
+
+void TrafficWorker::CountOpen() {
+  open_ = completions_.size() + open_calls_;
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/http/http_dispatcher.cc
@@ -0,0 +1,37 @@
+// Implementation of the dispatcher.
+
+#include "http/http_dispatcher.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace mangoyoke {
+
+HttpDispatcher::HttpDispatcher(std::vector<DispatchTarget> targets)
+    : targets_(std::move(targets)) {}
+
+void HttpDispatcher::OnRequest(ServerRequest request,
+                               ServerConnection connection) {
+  const DispatchTarget& target = TargetOf(request.connection_id);
+  // Shared, because handlers of the event loop must be copyable.
+  auto job = std::make_shared<std::pair<ServerRequest, ServerConnection>>(
+      std::move(request), std::move(connection));
+  boost::asio::post(*target.io, [target, job] {
+    auto stream =
+        std::make_shared<ResponseStream>(*target.io, std::move(job->second));
+    target.sink->Handle(std::move(job->first), std::move(stream));
+  });
+}
+
+void HttpDispatcher::OnDisconnect(uint64_t connection_id) {
+  const DispatchTarget& target = TargetOf(connection_id);
+  boost::asio::post(*target.io, [target, connection_id] {
+    target.sink->CallerGone(connection_id);
+  });
+}
+
+const DispatchTarget& HttpDispatcher::TargetOf(uint64_t connection_id) const {
+  return targets_[connection_id % targets_.size()];
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/tool/admin_client.cc
@@ -0,0 +1,86 @@
+// Implementation of the admin client on the asynchronous HTTP client.
+
+#include "tool/admin_client.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include "http/http_client.h"
+
+namespace mangoyoke {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Millis kTimeout{8000};
+
+ClientResponse Exchange(ClientRequest request) {
+  boost::asio::io_context io(1);
+  HttpClient client(io);
+  ClientResponse result;
+  client.Start(std::move(request), [&](ClientResponse response) {
+    result = std::move(response);
+    io.stop();
+  });
+  io.run();
+  return result;
+}
+
+Error ErrorOf(const ClientResponse& response) {
+  Json body = Json::parse(response.body, nullptr, false);
+  if (body.is_object() && body.contains("error") && body["error"].is_object()) {
+    const Json& error = body["error"];
+    return Error{static_cast<ErrorCode>(error.value("code", 599)),
+                 error.value("detail", error.value("message", ""))};
+  }
+  return Error{ErrorCode::kInternal,
+               "status " + std::to_string(response.status)};
+}
+
+}  // namespace
+
+AdminClient::AdminClient(std::vector<std::string> addresses)
+    : addresses_(std::move(addresses)) {}
+
+Result<std::string> AdminClient::Get(const std::string& path) {
+  Error last{ErrorCode::kPeerUnreachable, "no instance answers"};
+  for (const std::string& address : addresses_) {
+    ClientRequest request;
+    request.url = "http://" + address + path;
+    request.timeout = kTimeout;
+    ClientResponse response = Exchange(std::move(request));
+    if (response.Succeeded()) {
+      return response.body;
+    }
+    if (response.end == TransferEnd::kComplete) {
+      return ErrorOf(response);
+    }
+    last.detail = address + ": " + response.error;
+  }
+  return last;
+}
+
+Result<Json> AdminClient::Post(const std::string& path, const Json& body) {
+  Error last{ErrorCode::kPeerUnreachable, "no instance answers"};
+  for (const std::string& address : addresses_) {
+    ClientRequest request;
+    request.method = "POST";
+    request.url = "http://" + address + path;
+    request.body = body.dump();
+    request.timeout = kTimeout;
+    request.fresh_connection = true;
+    ClientResponse response = Exchange(std::move(request));
+    if (response.Succeeded()) {
+      return Json::parse(response.body, nullptr, false);
+    }
+    if (response.end == TransferEnd::kComplete) {
+      return ErrorOf(response);
+    }
+    if (response.end != TransferEnd::kNotConnected) {
+      return Error{ErrorCode::kSubmitUnknown, address + ": " + response.error};
+    }
+    last.detail = address + ": " + response.error;
+  }
+  return last;
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/tool/main.cc
@@ -0,0 +1,382 @@
+// mangoyokectl: the operators' command-line tool.
+
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include "mangoyoke/plan.h"
+#include "tool/admin_client.h"
+
+namespace mangoyoke {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kExitOk = 0;
+constexpr int kExitUsage = 2;
+constexpr int kExitInvalid = 3;
+constexpr int kExitConflict = 4;
+constexpr int kExitUnavailable = 5;
+constexpr int kExitUnknown = 6;
+constexpr int kSubmitTries = 5;
+
+constexpr std::string_view kHelp =
+    R"(usage: mangoyokectl [options] COMMAND [FILE]
+
+commands:
+  check FILE     check a plan; nothing is sent
+  diff FILE      show what FILE would change in the plan in force
+  submit FILE    put FILE in force; asks for nothing, so run diff first
+  plan           print the plan in force
+  status         one line for each instance
+  entries        entries for callers, as one instance sees them
+  backends       allocation cells and their free slots
+  counters       the metrics of the first instance that answers
+  drain          let the first instance of --admin stop taking work
+
+options:
+  --admin IP:port,...   admin addresses, tried in this order
+                        (default: $MANGOYOKE_ADMIN)
+  --base N              with submit: the revision FILE was made against
+                        (default: the one in force)
+  --submission-id ID    with submit: repeat an earlier submission safely
+  --json                print JSON
+
+exit codes:
+  0 done   2 wrong usage   3 the plan has an error
+  4 another operator was first: run diff again
+  5 no instance or the platform does not answer: nothing was changed
+  6 not known whether it was accepted: run the same submit again with the
+    printed --submission-id
+)";
+
+struct Options {
+  std::string command;
+  std::string file;
+  std::vector<std::string> admin;
+  std::string base;
+  std::string submission_id;
+  bool json = false;
+};
+
+int ExitCodeOf(ErrorCode code) {
+  switch (code) {
+    case ErrorCode::kPlanInvalid:
+      return kExitInvalid;
+    case ErrorCode::kPlanConflict:
+      return kExitConflict;
+    case ErrorCode::kSubmitUnknown:
+      return kExitUnknown;
+    default:
+      return kExitUnavailable;
+  }
+}
+
+int Report(const Error& error) {
+  std::cerr << "mangoyokectl: " << static_cast<int>(error.code) << " "
+            << InfoOf(error.code).name << ": "
+            << (error.detail.empty() ? InfoOf(error.code).message
+                                     : error.detail)
+            << "\n";
+  return ExitCodeOf(error.code);
+}
+
+Result<std::string> ReadFile(const std::string& path) {
+  std::ifstream input(path);
+  if (!input) {
+    return Error{ErrorCode::kPlanInvalid, path + ": cannot be read"};
+  }
+  std::ostringstream text;
+  text << input.rdbuf();
+  return text.str();
+}
+
+// The plan in force.
+struct PlanInForce {
+  Revision revision = 0;
+  std::string text;
+};
+
+Result<PlanInForce> FetchPlan(AdminClient& client) {
+  auto fetched = client.Get("/admin/plan");
+  if (const auto* error = std::get_if<Error>(&fetched)) {
+    return *error;
+  }
+  Json body = Json::parse(std::get<std::string>(fetched), nullptr, false);
+  if (!body.is_object()) {
+    return Error{ErrorCode::kInternal, "unreadable answer"};
+  }
+  return PlanInForce{body.value("revision", Revision{0}),
+                     body.value("text", "")};
+}
+
+Result<Plan> ReadPlan(const Options& options) {
+  auto text = ReadFile(options.file);
+  if (const auto* error = std::get_if<Error>(&text)) {
+    return *error;
+  }
+  return ParsePlan(std::get<std::string>(text), options.file, 0);
+}
+
+int Check(const Options& options) {
+  auto plan = ReadPlan(options);
+  if (const auto* error = std::get_if<Error>(&plan)) {
+    return Report(*error);
+  }
+  const Plan& valid = std::get<Plan>(plan);
+  std::cout << options.file << ": valid, " << valid.models.size() << " models, "
+            << valid.backends.size() << " backend servers, "
+            << valid.services.size() << " services\n";
+  return kExitOk;
+}
+
+int Diff(const Options& options, AdminClient& client) {
+  auto plan = ReadPlan(options);
+  if (const auto* error = std::get_if<Error>(&plan)) {
+    return Report(*error);
+  }
+  auto current = FetchPlan(client);
+  if (const auto* error = std::get_if<Error>(&current)) {
+    return Report(*error);
+  }
+  const auto& in_force = std::get<PlanInForce>(current);
+  Plan before;
+  if (in_force.revision > 0) {
+    auto parsed = ParsePlan(in_force.text, "plan in force", in_force.revision);
+    if (const auto* error = std::get_if<Error>(&parsed)) {
+      return Report(*error);
+    }
+    before = std::get<Plan>(parsed);
+  }
+  std::vector<std::string> lines = DiffPlans(before, std::get<Plan>(plan));
+  if (options.json) {
+    std::cout << Json{{"revision", in_force.revision}, {"changes", lines}}.dump(
+                     2)
+              << "\n";
+    return kExitOk;
+  }
+  std::cout << "against revision " << in_force.revision << ", " << lines.size()
+            << " changes\n";
+  for (const std::string& line : lines) {
+    std::cout << line << "\n";
+  }
+  return kExitOk;
+}
+
+std::string NewSubmissionId() {
+  std::random_device device;
+  std::ostringstream id;
+  id << std::hex << device() << device() << device();
+  return id.str();
+}
+
+int Submit(const Options& options, AdminClient& client) {
+  auto text = ReadFile(options.file);
+  if (const auto* error = std::get_if<Error>(&text)) {
+    return Report(*error);
+  }
+  auto plan = ParsePlan(std::get<std::string>(text), options.file, 0);
+  if (const auto* error = std::get_if<Error>(&plan)) {
+    return Report(*error);
+  }
+  Revision base = 0;
+  if (!options.base.empty()) {
+    base = std::strtoull(options.base.c_str(), nullptr, 10);
+  } else {
+    auto current = FetchPlan(client);
+    if (const auto* error = std::get_if<Error>(&current)) {
+      return Report(*error);
+    }
+    base = std::get<PlanInForce>(current).revision;
+  }
+  std::string id =
+      options.submission_id.empty() ? NewSubmissionId() : options.submission_id;
+  Json body{{"text", std::get<std::string>(text)},
+            {"base", base},
+            {"submission_id", id}};
+  Error last;
+  for (int attempt = 0; attempt < kSubmitTries; ++attempt) {
+    auto result = client.Post("/admin/plan", body);
+    if (Ok(result)) {
+      auto revision = std::get<Json>(result).value("revision", Revision{0});
+      std::cout << (options.json
+                        ? Json{{"revision", revision}}.dump()
+                        : "accepted as revision " + std::to_string(revision))
+                << "\n";
+      return kExitOk;
+    }
+    last = std::get<Error>(result);
+    if (last.code != ErrorCode::kSubmitUnknown) {
+      return Report(last);
+    }
+  }
+  std::cerr << "repeat with: --base " << base << " --submission-id " << id
+            << "\n";
+  return Report(last);
+}
+
+int PrintPlanInForce(const Options& options, AdminClient& client) {
+  auto current = FetchPlan(client);
+  if (const auto* error = std::get_if<Error>(&current)) {
+    return Report(*error);
+  }
+  const auto& plan = std::get<PlanInForce>(current);
+  if (options.json) {
+    std::cout << Json{{"revision", plan.revision}, {"text", plan.text}}.dump(2)
+              << "\n";
+  } else {
+    std::cout << "; revision " << plan.revision << "\n" << plan.text;
+  }
+  return kExitOk;
+}
+
+void PrintStatusLine(const Json& instance) {
+  if (instance.contains("error")) {
+    std::cout << std::left << std::setw(12) << instance.value("instance", "")
+              << instance.value("error", "") << "\n";
+    return;
+  }
+  std::string state = instance.value("leaving", false)     ? "leaving"
+                      : instance.value("suspended", false) ? "suspended"
+                                                           : "serving";
+  std::cout << std::left << std::setw(12) << instance.value("instance", "")
+            << std::setw(10) << instance.value("zone", "") << std::setw(10)
+            << state << "revision " << std::setw(8)
+            << instance.value("revision", Revision{0}) << "members "
+            << instance["members"].size() << "  cells "
+            << instance["cells"].size() << "\n";
+}
+
+void PrintCells(const Json& instance) {
+  for (const Json& cell : instance.value("cells", Json::array())) {
+    std::cout << std::left << std::setw(24) << cell.value("cell", "")
+              << "allocator " << std::setw(12) << instance.value("instance", "")
+              << "backends " << std::setw(5) << cell.value("backends", 0)
+              << "free slots " << std::setw(6) << cell.value("free_slots", 0)
+              << "waiting " << cell.value("waiting", 0) << "\n";
+  }
+}
+
+void PrintEntries(const Json& instance) {
+  for (const Json& member : instance.value("members", Json::array())) {
+    std::cout << std::left << std::setw(12) << member.value("instance", "")
+              << std::setw(10) << member.value("zone", "") << std::setw(22)
+              << member.value("address", "")
+              << (member.value("leaving", false) ? "leaving"
+                                                 : member.value("state", ""))
+              << "\n";
+  }
+}
+
+int PrintCluster(const Options& options, AdminClient& client) {
+  auto fetched = client.Get("/admin/cluster");
+  if (const auto* error = std::get_if<Error>(&fetched)) {
+    return Report(*error);
+  }
+  Json body = Json::parse(std::get<std::string>(fetched), nullptr, false);
+  if (options.json) {
+    std::cout << body.dump(2) << "\n";
+    return kExitOk;
+  }
+  for (const Json& instance : body.value("instances", Json::array())) {
+    if (options.command == "status") {
+      PrintStatusLine(instance);
+    } else if (options.command == "backends") {
+      PrintCells(instance);
+    } else {
+      PrintEntries(instance);
+      break;  // One instance's view.
+    }
+  }
+  return kExitOk;
+}
+
+int Run(const Options& options) {
+  bool needs_file = options.command == "check" || options.command == "diff" ||
+                    options.command == "submit";
+  if (needs_file && options.file.empty()) {
+    std::cerr << "mangoyokectl: " << options.command << " needs a FILE\n";
+    return kExitUsage;
+  }
+  if (options.command == "check") {
+    return Check(options);
+  }
+  if (options.admin.empty()) {
+    std::cerr << "mangoyokectl: --admin or $MANGOYOKE_ADMIN is needed\n";
+    return kExitUsage;
+  }
+  AdminClient client(options.admin);
+  if (options.command == "diff") {
+    return Diff(options, client);
+  }
+  if (options.command == "submit") {
+    return Submit(options, client);
+  }
+  if (options.command == "plan") {
+    return PrintPlanInForce(options, client);
+  }
+  if (options.command == "status" || options.command == "backends" ||
+      options.command == "entries") {
+    return PrintCluster(options, client);
+  }
+  if (options.command == "counters") {
+    auto page = client.Get("/metrics");
+    if (const auto* error = std::get_if<Error>(&page)) {
+      return Report(*error);
+    }
+    std::cout << std::get<std::string>(page);
+    return kExitOk;
+  }
+  if (options.command == "drain") {
+    AdminClient first({options.admin.front()});
+    auto result = first.Post("/admin/drain", Json::object());
+    if (const auto* error = std::get_if<Error>(&result)) {
+      return Report(*error);
+    }
+    std::cout << options.admin.front() << " is leaving\n";
+    return kExitOk;
+  }
+  std::cerr << "mangoyokectl: unknown command \"" << options.command
+            << "\"; see --help\n";
+  return kExitUsage;
+}
+
+int Main(int argc, char** argv) {
+  Options options;
+  cxxopts::Options parser("mangoyokectl");
+  parser.add_options()("command", "", cxxopts::value(options.command))(
+      "file", "", cxxopts::value(options.file))(
+      "admin", "", cxxopts::value(options.admin))("base", "",
+                                                  cxxopts::value(options.base))(
+      "submission-id", "", cxxopts::value(options.submission_id))(
+      "json", "", cxxopts::value(options.json))("h,help", "");
+  parser.parse_positional({"command", "file"});
+  try {
+    auto parsed = parser.parse(argc, argv);
+    if (parsed.count("help") > 0 || options.command.empty()) {
+      std::cout << kHelp;
+      return parsed.count("help") > 0 ? kExitOk : kExitUsage;
+    }
+  } catch (const cxxopts::exceptions::exception& exception) {
+    std::cerr << "mangoyokectl: " << exception.what() << "\n";
+    return kExitUsage;
+  }
+  if (const char* admin = std::getenv("MANGOYOKE_ADMIN");
+      options.admin.empty() && admin != nullptr) {
+    std::istringstream list(admin);
+    for (std::string address; std::getline(list, address, ',');) {
+      options.admin.push_back(address);
+    }
+  }
+  return Run(options);
+}
+
+}  // namespace
+}  // namespace mangoyoke
+
+int main(int argc, char** argv) {
+  return mangoyoke::Main(argc, argv);
+}
