--- a/src/base/ini_document.cc
+++ b/src/base/ini_document.cc
@@ -26,11 +26,20 @@
     }
   }
 
+  // The headers of all sections, in order.
+  std::vector<std::string> Headers() const {
+    std::vector<std::string> headers;
+    for (const std::string& line : lines_) {
+      if (IsHeader(line)) {
+        headers.push_back(HeaderOf(line));
+      }
+    }
+    return headers;
+  }
+
   int OfSection(const std::string& header) const {
     for (size_t i = 0; i < lines_.size(); ++i) {
-      const std::string& line = lines_[i];
-      if (line.size() > 2 && line.front() == '[' && line.back() == ']' &&
-          boost::trim_copy(line.substr(1, line.size() - 2)) == header) {
+      if (IsHeader(lines_[i]) && HeaderOf(lines_[i]) == header) {
         return static_cast<int>(i) + 1;
       }
     }
@@ -51,6 +60,14 @@
   }
 
  private:
+  static bool IsHeader(const std::string& line) {
+    return line.size() > 2 && line.front() == '[' && line.back() == ']';
+  }
+
+  static std::string HeaderOf(const std::string& line) {
+    return boost::trim_copy(line.substr(1, line.size() - 2));
+  }
+
   std::vector<std::string> lines_;
 };
 
@@ -92,7 +109,14 @@
                              ": " + header +
                              ": expected a section before this key"};
     }
-    document.sections.push_back(ConvertSection(header, section, lines));
+  }
+  // The parser drops sections without keys; they mean "all defaults".
+  for (const std::string& header : lines.Headers()) {
+    auto section = tree.find(header);
+    document.sections.push_back(ConvertSection(
+        header,
+        section == tree.not_found() ? property_tree::ptree() : section->second,
+        lines));
   }
   return document;
 }
--- /dev/null
+++ b/tests/integration/answers_test.cc
@@ -0,0 +1,159 @@
+// Answers are whole, once and the caller's own, whatever engines and entries
+// do; and nothing stays held in engines afterwards.
+
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <thread>
+
+#include "cluster.h"
+#include "token_text.h"
+
+namespace mangoyoke::testing {
+namespace {
+
+std::string TextOf(const ClientResponse& response) {
+  Json body = Json::parse(response.body, nullptr, false);
+  return body.is_object() && body.contains("choices")
+             ? body["choices"][0].value("text", "")
+             : response.body;
+}
+
+// The story's answer is whole or the story was refused; nothing is broken.
+void ExpectNothingLost(const Json& report) {
+  const Json& ends = report["completions"]["ends"];
+  EXPECT_EQ(ends.value("wrong", 0), 0) << report.dump(2);
+  EXPECT_EQ(ends.value("broken", 0), 0) << report.dump(2);
+  EXPECT_GT(ends.value("complete", 0), 0) << report.dump(2);
+}
+
+TEST(AnswersTest, EngineEventsRepeatedReorderedAndCut) {
+  Cluster cluster;
+  for (const char* id : {"d0", "d1"}) {
+    cluster.Behave(
+        cluster.EngineUrl(id),
+        {{"repeat_tokens", true}, {"reorder_tokens", true}, {"cut_after", 7}});
+  }
+  for (int i = 0; i < 4; ++i) {
+    std::string prompt = "story " + std::to_string(i);
+    auto response = cluster.Complete(i % 3, prompt, 20);
+    EXPECT_EQ(TextOf(response), standin::AnswerText(prompt, 20));
+  }
+  EXPECT_TRUE(Eventually([&] { return cluster.EnginesEmpty(); }));
+}
+
+TEST(AnswersTest, DecodeServerDiesInMidStream) {
+  Cluster cluster;
+  ClientResponse response;
+  std::string prompt = "a long story";
+  std::thread caller([&] { response = cluster.Complete(0, prompt, 100); });
+  EXPECT_TRUE(Eventually([&] { return cluster.EngineSum("running") > 0; }));
+  std::this_thread::sleep_for(Millis(300));
+  for (const char* id : {"d0", "d1"}) {
+    Json stats = CallJson("GET", cluster.EngineUrl(id) + "/admin/stats");
+    if (stats.value("running", 0) > 0) {
+      cluster.engine(id).Kill();
+      break;
+    }
+  }
+  caller.join();
+  EXPECT_EQ(TextOf(response), standin::AnswerText(prompt, 100));
+}
+
+TEST(AnswersTest, StalledTransferGoesElsewhere) {
+  Cluster cluster;
+  cluster.Behave(cluster.EngineUrl("p0"), {{"stall_transfers", true}});
+  for (int i = 0; i < 4; ++i) {
+    std::string prompt = "stalled " + std::to_string(i);
+    auto response = cluster.Complete(i % 3, prompt, 10);
+    EXPECT_EQ(TextOf(response), standin::AnswerText(prompt, 10));
+  }
+  cluster.Behave(cluster.EngineUrl("p0"), {{"stall_transfers", false}});
+  EXPECT_TRUE(Eventually([&] { return cluster.EnginesEmpty(); }));
+}
+
+TEST(AnswersTest, CallersThatGoAwayHoldNothing) {
+  Cluster cluster;
+  Json report = cluster.RunLoad(
+      "--seconds 4 --rate 20 --cancel-share 0.5 --output-tokens 60 --seed 3");
+  ExpectNothingLost(report);
+  EXPECT_GT(report["completions"]["ends"].value("cancelled", 0), 0);
+  EXPECT_TRUE(Eventually([&] { return cluster.EnginesEmpty(); }));
+  EXPECT_GT(cluster.EngineSum("cancels"), 0);
+}
+
+TEST(AnswersTest, KilledEntryStreamsAreResumedElsewhere) {
+  Cluster cluster;
+  Json report =
+      cluster.RunLoad("--seconds 4 --rate 15 --output-tokens 60 --seed 4", [&] {
+        std::this_thread::sleep_for(Millis(2000));
+        cluster.KillEntry(0);
+      });
+  ExpectNothingLost(report);
+  EXPECT_GT(report["completions"].value("resumed", 0), 0);
+  EXPECT_TRUE(
+      Eventually([&] { return cluster.EnginesEmpty(); }, Millis(15'000)));
+}
+
+TEST(AnswersTest, PausedEntryFindsOutBeforeItActs) {
+  Cluster cluster;
+  Json report = cluster.RunLoad(
+      "--seconds 6 --rate 10 --bookings 10 --output-tokens 40 --seed 5", [&] {
+        std::this_thread::sleep_for(Millis(1500));
+        cluster.entry(1).Signal(SIGSTOP);
+        std::this_thread::sleep_for(Millis(3000));
+        cluster.entry(1).Signal(SIGCONT);
+      });
+  const Json& ends = report["completions"]["ends"];
+  EXPECT_EQ(ends.value("wrong", 0), 0) << report.dump(2);
+  EXPECT_EQ(report["bookings"].value("doubles", -1), 0) << report.dump(2);
+  EXPECT_EQ(report["bookings"].value("ran_though_not_run", -1), 0);
+  EXPECT_TRUE(Eventually(
+      [&] { return cluster.Counter(1, "mangoyoke_pauses_total") >= 1; }));
+  EXPECT_TRUE(
+      Eventually([&] { return !cluster.Status(1).value("suspended", true); }));
+  EXPECT_TRUE(
+      Eventually([&] { return cluster.EnginesEmpty(); }, Millis(15'000)));
+}
+
+TEST(AnswersTest, RollingReplacementCutsNothingOff) {
+  ClusterOptions options;
+  options.entry_settings = "[timing]\nleave_notice_ms = 1500\n";
+  Cluster cluster(options);
+  Json report = cluster.RunLoad(
+      "--seconds 12 --rate 10 --bookings 10 --output-tokens 40 --seed 6", [&] {
+        for (int i = 0; i < 3; ++i) {
+          cluster.entry(i).Signal(SIGTERM);
+          EXPECT_EQ(cluster.entry(i).Wait(Millis(20'000)), 0)
+              << cluster.LogOf("entry" + std::to_string(i));
+          cluster.StartEntry(i);
+          EXPECT_TRUE(Eventually([&] { return cluster.RevisionAt(i) == 1; }));
+        }
+      });
+  ExpectNothingLost(report);
+  const Json& bookings = report["bookings"];
+  EXPECT_EQ(bookings["ends"].value("confirmed", 0), bookings.value("sent", -1))
+      << report.dump(2);
+  EXPECT_EQ(bookings.value("doubles", -1), 0);
+}
+
+TEST(AnswersTest, LeavingBackendGetsNoNewWork) {
+  Cluster cluster;
+  std::string plan = cluster.PlanText();
+  size_t at =
+      plan.find("[backend d0]\n") + std::string("[backend d0]\n").size();
+  plan.insert(at, "leaving = yes\n");
+  ASSERT_TRUE(cluster.Submit(0, plan, 1, "leave-d0").Succeeded());
+  ASSERT_TRUE(Eventually([&] { return cluster.InForceEverywhere(2); }));
+  auto tokens = [&] {
+    return CallJson("GET", cluster.EngineUrl("d0") + "/admin/stats")
+        .value("tokens", -1.0);
+  };
+  double before = tokens();
+  Json report = cluster.RunLoad("--seconds 3 --rate 10 --seed 7");
+  ExpectNothingLost(report);
+  EXPECT_EQ(tokens(), before);
+}
+
+}  // namespace
+}  // namespace mangoyoke::testing
--- /dev/null
+++ b/tests/integration/cluster.cc
@@ -0,0 +1,475 @@
+// Starting and driving of the processes of a test.
+
+#include "cluster.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+namespace mangoyoke::testing {
+namespace {
+
+constexpr Millis kPoll{20};
+
+std::string Local(int port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+std::vector<std::string> SplitWords(const std::string& text) {
+  std::istringstream input(text);
+  std::vector<std::string> words;
+  for (std::string word; input >> word;) {
+    words.push_back(word);
+  }
+  return words;
+}
+
+std::vector<std::string> Concat(std::vector<std::string> first,
+                                const std::vector<std::string>& second) {
+  first.insert(first.end(), second.begin(), second.end());
+  return first;
+}
+
+std::string Standin() {
+  return MANGOYOKE_BINARY_DIR "/standin";
+}
+
+}  // namespace
+
+Process::Process(const std::vector<std::string>& command,
+                 const std::string& log) {
+  std::vector<char*> arguments;
+  for (const std::string& word : command) {
+    arguments.push_back(const_cast<char*>(word.c_str()));
+  }
+  arguments.push_back(nullptr);
+  pid_ = ::fork();
+  if (pid_ != 0) {
+    return;
+  }
+  int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  ::dup2(fd, 1);
+  ::dup2(fd, 2);
+  for (int other = 3; other < 256; ++other) {
+    ::close(other);
+  }
+  ::execv(arguments[0], arguments.data());
+  ::_exit(127);
+}
+
+Process::~Process() {
+  Kill();
+}
+
+void Process::Signal(int signal) const {
+  if (pid_ > 0) {
+    ::kill(pid_, signal);
+  }
+}
+
+int Process::Wait(Millis limit) {
+  int status = 0;
+  bool ended = Eventually(
+      [&] { return pid_ < 0 || ::waitpid(pid_, &status, WNOHANG) == pid_; },
+      limit);
+  if (!ended) {
+    return -1;
+  }
+  pid_ = -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+void Process::Kill() {
+  if (pid_ > 0) {
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+    pid_ = -1;
+  }
+}
+
+int FreePort() {
+  static int next = 15000 + (::getpid() * 37) % 10000;
+  while (true) {
+    next = next >= 32000 ? 15000 : next + 1;
+    int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<uint16_t>(next));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bool free =
+        ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+    ::close(fd);
+    if (free) {
+      return next;
+    }
+  }
+}
+
+ClientResponse Call(const std::string& method,
+                    const std::string& url,
+                    const std::string& body,
+                    const HttpHeaders& headers,
+                    Millis timeout) {
+  boost::asio::io_context io(1);
+  HttpClient client(io);
+  ClientRequest request;
+  request.method = method;
+  request.url = url;
+  request.body = body;
+  request.headers = headers;
+  request.timeout = timeout;
+  ClientResponse result;
+  client.Start(std::move(request), [&](ClientResponse response) {
+    result = std::move(response);
+    io.stop();
+  });
+  io.run();
+  return result;
+}
+
+Json CallJson(const std::string& method,
+              const std::string& url,
+              const Json& body) {
+  ClientResponse response = Call(method, url, body.dump());
+  Json json = Json::parse(response.body, nullptr, false);
+  return json.is_object() ? json : Json::object();
+}
+
+bool Eventually(const std::function<bool()>& condition, Millis limit) {
+  TimePoint end = SteadyClock::now() + limit;
+  while (!condition()) {
+    if (SteadyClock::now() >= end) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  return true;
+}
+
+Cluster::Cluster(ClusterOptions options) : options_(std::move(options)) {
+  std::string name =
+      (std::filesystem::temp_directory_path() / "mangoyoke-XXXXXX").string();
+  directory_ = ::mkdtemp(name.data());
+  platform_port_ = FreePort();
+  platform_ = std::make_unique<Process>(
+      std::vector<std::string>{Standin(), "platform", "--listen",
+                               Local(platform_port_)},
+      directory_ + "/platform.log");
+  StartEngines();
+  StartServices();
+  for (int i = 0; i < options_.entries; ++i) {
+    caller_ports_.push_back(FreePort());
+    admin_ports_.push_back(FreePort());
+    peer_ports_.push_back(FreePort());
+    peer_front_ports_.push_back(peer_ports_.back());
+    entry_proxy_admin_.push_back(0);
+    if (options_.proxied_entries) {
+      peer_front_ports_.back() = FreePort();
+      entry_proxy_admin_.back() = FreePort();
+      proxies_.push_back(std::make_unique<Process>(
+          std::vector<std::string>{Standin(), "proxy", "--listen",
+                                   Local(peer_front_ports_.back()), "--target",
+                                   Local(peer_ports_.back()), "--admin",
+                                   Local(entry_proxy_admin_.back())},
+          directory_ + "/proxy.log"));
+    }
+  }
+  for (int i = 0; i < options_.entries; ++i) {
+    StartEntry(i);
+  }
+  Eventually([this] {
+    return Call("GET", PlatformUrl() + "/admin/stats").Succeeded();
+  });
+  for (int i = 0; i < options_.entries; ++i) {
+    Eventually([this, i] {
+      return Status(i)["members"].size() ==
+             static_cast<size_t>(options_.entries);
+    });
+  }
+  if (options_.submit_plan) {
+    Submit(0, PlanText(), 0, "initial");
+    Eventually([this] { return InForceEverywhere(1); });
+  }
+}
+
+Cluster::~Cluster() {
+  entries_.clear();
+  engines_.clear();
+  services_.clear();
+  proxies_.clear();
+  platform_.reset();
+  std::filesystem::remove_all(directory_);
+}
+
+void Cluster::StartEngines() {
+  auto start = [this](const std::string& id, const std::string& role,
+                      int number) {
+    engine_ports_[id] = FreePort();
+    std::vector<std::string> command{Standin(),  "engine",
+                                     "--role",   role,
+                                     "--listen", Local(engine_ports_[id]),
+                                     "--seed",   std::to_string(number)};
+    engines_[id] = std::make_unique<Process>(
+        Concat(command, SplitWords(options_.engine_flags)),
+        directory_ + "/" + id + ".log");
+  };
+  for (int i = 0; i < options_.prefill; ++i) {
+    start("p" + std::to_string(i), "prefill", i);
+  }
+  for (int i = 0; i < options_.decode; ++i) {
+    start("d" + std::to_string(i), "decode", i);
+  }
+}
+
+void Cluster::StartServices() {
+  for (int i = 0; i < options_.services; ++i) {
+    service_ports_.push_back(FreePort());
+    service_front_ports_.push_back(service_ports_.back());
+    service_proxy_admin_.push_back(0);
+    services_.push_back(std::make_unique<Process>(
+        std::vector<std::string>{Standin(), "service", "--listen",
+                                 Local(service_ports_.back())},
+        directory_ + "/service.log"));
+    if (options_.proxied_services) {
+      service_front_ports_.back() = FreePort();
+      service_proxy_admin_.back() = FreePort();
+      proxies_.push_back(std::make_unique<Process>(
+          std::vector<std::string>{Standin(), "proxy", "--listen",
+                                   Local(service_front_ports_.back()),
+                                   "--target", Local(service_ports_.back()),
+                                   "--admin",
+                                   Local(service_proxy_admin_.back())},
+          directory_ + "/proxy.log"));
+    }
+  }
+}
+
+void Cluster::StartEntry(int index) {
+  std::string name = "entry" + std::to_string(index);
+  std::string path = directory_ + "/" + name + ".ini";
+  std::ofstream settings(path);
+  settings << "[instance]\nid = " << name << "\nzone = zone"
+           << index % options_.zones
+           << "\n[listen]\ncallers = " << Local(caller_ports_[index])
+           << "\npeers = " << Local(peer_ports_[index])
+           << "\nadvertised_peers = " << Local(peer_front_ports_[index])
+           << "\nadmin = " << Local(admin_ports_[index])
+           << "\n[platform]\nurl = " << PlatformUrl() << "\n[peers]\nknown = ";
+  for (int port : peer_front_ports_) {
+    settings << Local(port) << ",";
+  }
+  settings << "\n" << options_.entry_settings;
+  settings.close();
+  entries_[index] = std::make_unique<Process>(
+      std::vector<std::string>{MANGOYOKE_BINARY_DIR "/mangoyoked", path},
+      directory_ + "/" + name + ".log");
+  Eventually([this, index] {
+    return Call("GET", AdminUrl(index) + "/admin/status", "", {}, Millis(500))
+        .Succeeded();
+  });
+}
+
+std::string Cluster::EntryAddress(int index) const {
+  return Local(caller_ports_.at(index));
+}
+
+std::string Cluster::AdminUrl(int index) const {
+  return "http://" + Local(admin_ports_.at(index));
+}
+
+std::string Cluster::PlatformUrl() const {
+  return "http://" + Local(platform_port_);
+}
+
+std::string Cluster::EngineUrl(const std::string& id) const {
+  return "http://" + Local(engine_ports_.at(id));
+}
+
+std::string Cluster::ServiceUrl(int index) const {
+  return "http://" + Local(service_ports_.at(index));
+}
+
+std::vector<std::string> Cluster::EngineIds() const {
+  std::vector<std::string> ids;
+  for (const auto& [id, port] : engine_ports_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+void Cluster::Behave(const std::string& url, const Json& behavior) {
+  Call("POST", url + "/admin/behavior", behavior.dump());
+}
+
+void Cluster::EntryFault(int index, const Json& fault) {
+  Call("POST", "http://" + Local(entry_proxy_admin_.at(index)) + "/fault",
+       fault.dump());
+}
+
+void Cluster::ServiceFault(int index, const Json& fault) {
+  Call("POST", "http://" + Local(service_proxy_admin_.at(index)) + "/fault",
+       fault.dump());
+}
+
+std::string Cluster::PlanText(const std::string& extra) const {
+  std::ostringstream plan;
+  plan << "[plan]\nname = test\n[model assistant]\n"
+       << "[service bookings]\n"
+       << options_.service_extra
+       << "[route lookup]\nservice = bookings\nmethod = GET\npath = /\n"
+       << "idempotent = yes\n";
+  for (const auto& [id, port] : engine_ports_) {
+    plan << "[backend " << id << "]\nurl = " << EngineUrl(id) << "\nzone = zone"
+         << port % options_.zones
+         << "\nrole = " << (id[0] == 'p' ? "prefill" : "decode")
+         << "\nmodel = assistant\n";
+  }
+  for (size_t i = 0; i < service_front_ports_.size(); ++i) {
+    plan << "[backend s" << i << "]\nurl = http://"
+         << Local(service_front_ports_[i])
+         << "\nzone = zone0\nservice = bookings\n";
+  }
+  plan << options_.plan_extra << extra;
+  return plan.str();
+}
+
+ClientResponse Cluster::Submit(int entry,
+                               const std::string& text,
+                               int base,
+                               const std::string& id) {
+  return Call(
+      "POST", AdminUrl(entry) + "/admin/plan",
+      Json{{"text", text}, {"base", base}, {"submission_id", id}}.dump());
+}
+
+Json Cluster::Status(int entry) {
+  ClientResponse response =
+      Call("GET", AdminUrl(entry) + "/admin/status", "", {}, Millis(1000));
+  Json json = Json::parse(response.body, nullptr, false);
+  return json.is_object() ? json : Json::object();
+}
+
+int64_t Cluster::RevisionAt(int entry) {
+  return Status(entry).value("revision", int64_t{-1});
+}
+
+bool Cluster::InForceEverywhere(int64_t revision) {
+  for (const auto& [index, process] : entries_) {
+    if (process->pid() > 0 && RevisionAt(index) < revision) {
+      return false;
+    }
+  }
+  return true;
+}
+
+double Cluster::Counter(int entry, const std::string& name) {
+  std::istringstream page(Call("GET", AdminUrl(entry) + "/metrics").body);
+  for (std::string line; std::getline(page, line);) {
+    if (line.starts_with(name + " ")) {
+      return std::stod(line.substr(name.size() + 1));
+    }
+  }
+  return 0;
+}
+
+ClientResponse Cluster::Complete(int entry,
+                                 const std::string& prompt,
+                                 int tokens,
+                                 const HttpHeaders& headers) {
+  return Call(
+      "POST", "http://" + EntryAddress(entry) + "/v1/completions",
+      Json{{"model", "assistant"}, {"prompt", prompt}, {"max_tokens", tokens}}
+          .dump(),
+      headers, Millis(30'000));
+}
+
+ClientResponse Cluster::Book(int entry,
+                             const std::string& key,
+                             Millis timeout) {
+  return Call("POST",
+              "http://" + EntryAddress(entry) + "/services/bookings/book", "{}",
+              {{"Idempotency-Key", key}}, timeout);
+}
+
+std::string Cluster::TicketOf(int entry) {
+  Json entries =
+      CallJson("GET", "http://" + EntryAddress(entry) + "/v1/entries");
+  for (const Json& item : entries.value("entries", Json::array())) {
+    if (item.value("instance", "") == "entry" + std::to_string(entry)) {
+      return item.value("ticket", "");
+    }
+  }
+  return "";
+}
+
+int64_t Cluster::ExecutionsOf(const std::string& key) {
+  int64_t total = 0;
+  for (size_t i = 0; i < service_ports_.size(); ++i) {
+    Json body =
+        CallJson("GET", ServiceUrl(static_cast<int>(i)) + "/admin/executions");
+    total += body.value("keys", Json::object()).value(key, int64_t{0});
+  }
+  return total;
+}
+
+Json Cluster::RunLoad(const std::string& flags,
+                      const std::function<void()>& meanwhile) {
+  std::vector<std::string> command{Standin(), "load", "--entries"};
+  std::string entries;
+  for (size_t i = 0; i < caller_ports_.size(); ++i) {
+    entries += (i == 0 ? "" : ",") + EntryAddress(static_cast<int>(i));
+  }
+  command.push_back(entries);
+  std::string urls;
+  for (size_t i = 0; i < service_ports_.size(); ++i) {
+    urls += (i == 0 ? "" : ",") + ServiceUrl(static_cast<int>(i));
+  }
+  if (!urls.empty()) {
+    command.insert(command.end(), {"--service-urls", urls});
+  }
+  std::string log = directory_ + "/load.json";
+  std::filesystem::remove(log);
+  Process load(Concat(command, SplitWords(flags)), log);
+  if (meanwhile) {
+    meanwhile();
+  }
+  load.Wait(Millis(120'000));
+  std::ifstream report(log);
+  Json json = Json::parse(report, nullptr, false);
+  return json.is_object() ? json : Json::object();
+}
+
+double Cluster::EngineSum(const std::string& name) {
+  double sum = 0;
+  for (const auto& [id, process] : engines_) {
+    if (process->pid() > 0) {
+      sum += CallJson("GET", EngineUrl(id) + "/admin/stats").value(name, 0.0);
+    }
+  }
+  return sum;
+}
+
+bool Cluster::EnginesEmpty() {
+  return EngineSum("kv_held_tokens") == 0 && EngineSum("running") == 0 &&
+         EngineSum("queued") == 0;
+}
+
+std::string Cluster::LogOf(const std::string& name) const {
+  std::ifstream input(directory_ + "/" + name + ".log");
+  std::ostringstream text;
+  text << input.rdbuf();
+  std::string all = text.str();
+  constexpr size_t kLast = 4000;
+  return all.size() > kLast ? all.substr(all.size() - kLast) : all;
+}
+
+}  // namespace mangoyoke::testing
--- /dev/null
+++ b/tests/integration/cluster.h
@@ -0,0 +1,158 @@
+// A whole system of real processes on loopback, for tests of failures.
+
+#ifndef MANGOYOKE_TESTS_INTEGRATION_CLUSTER_H_
+#define MANGOYOKE_TESTS_INTEGRATION_CLUSTER_H_
+
+#include <sys/types.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "http/http_client.h"
+
+namespace mangoyoke::testing {
+
+using Json = nlohmann::json;
+
+// One child process, killed at the latest when destroyed.
+class Process {
+ public:
+  Process(const std::vector<std::string>& command, const std::string& log);
+  ~Process();
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  void Signal(int signal) const;
+  // Waits up to `limit`; the exit code, or -1 if it was killed or still runs.
+  int Wait(Millis limit);
+  void Kill();
+  pid_t pid() const { return pid_; }
+
+ private:
+  pid_t pid_ = -1;  // -1 when reaped.
+};
+
+// A free port on loopback, below the ephemeral range.
+int FreePort();
+
+// One HTTP exchange.
+ClientResponse Call(const std::string& method,
+                    const std::string& url,
+                    const std::string& body = "",
+                    const HttpHeaders& headers = {},
+                    Millis timeout = Millis(10'000));
+Json CallJson(const std::string& method,
+              const std::string& url,
+              const Json& body = Json::object());
+
+// Polls until `condition` holds or `limit` passes.
+bool Eventually(const std::function<bool()>& condition,
+                Millis limit = Millis(10'000));
+
+struct ClusterOptions {
+  int entries = 3;
+  int zones = 3;
+  int prefill = 2;
+  int decode = 2;
+  int services = 1;
+  std::string engine_flags;    // Added to each engine's command line.
+  std::string entry_settings;  // Added to each settings file.
+  std::string plan_extra;      // Added to the plan.
+  std::string service_extra = "timeout_ms = 1500\n";
+  bool proxied_entries = false;  // Peer connections pass a fault proxy.
+  bool proxied_services = false;
+  bool submit_plan = true;
+};
+
+class Cluster {
+ public:
+  explicit Cluster(ClusterOptions options = {});
+  ~Cluster();
+
+  // Starts entry `index` (again).
+  void StartEntry(int index);
+  Process& entry(int index) { return *entries_.at(index); }
+  Process& engine(const std::string& id) { return *engines_.at(id); }
+  void KillEntry(int index) { entries_.at(index)->Kill(); }
+
+  std::string EntryAddress(int index) const;
+  std::string AdminUrl(int index) const;
+  std::string PlatformUrl() const;
+  std::string EngineUrl(const std::string& id) const;
+  std::string ServiceUrl(int index) const;
+  std::vector<std::string> EngineIds() const;
+
+  // Sets the switches of a stand-in.
+  void Behave(const std::string& url, const Json& behavior);
+  // Sets the fault of the proxy before an entry's peer port or a service.
+  void EntryFault(int index, const Json& fault);
+  void ServiceFault(int index, const Json& fault);
+
+  std::string PlanText(const std::string& extra = "") const;
+  // Submits a plan through an entry; the HTTP answer.
+  ClientResponse Submit(int entry,
+                        const std::string& text,
+                        int base,
+                        const std::string& id);
+  int64_t RevisionAt(int entry);
+  // Whether all entries that run have at least `revision` in force.
+  bool InForceEverywhere(int64_t revision);
+  Json Status(int entry);
+  double Counter(int entry, const std::string& name);
+
+  // A completion that is not streamed; the HTTP answer.
+  ClientResponse Complete(int entry,
+                          const std::string& prompt,
+                          int tokens,
+                          const HttpHeaders& headers = {});
+  // A booking with the given key.
+  ClientResponse Book(int entry,
+                      const std::string& key,
+                      Millis timeout = Millis(8000));
+  // A ticket of the entry's current run.
+  std::string TicketOf(int entry);
+  // How often a key ran, over all services.
+  int64_t ExecutionsOf(const std::string& key);
+
+  // Runs the load driver and returns its report. `meanwhile` runs beside it.
+  Json RunLoad(const std::string& flags,
+               const std::function<void()>& meanwhile = nullptr);
+  // Sum of a counter over all engines that answer.
+  double EngineSum(const std::string& name);
+  // Whether all engines hold nothing.
+  bool EnginesEmpty();
+
+  // The last lines of a process's log, for messages.
+  std::string LogOf(const std::string& name) const;
+
+ private:
+  void StartEngines();
+  void StartServices();
+  std::vector<std::string> KnownPeers() const;
+
+  ClusterOptions options_;
+  std::string directory_;
+  int platform_port_ = 0;
+  std::unique_ptr<Process> platform_;
+  std::map<std::string, std::unique_ptr<Process>> engines_;
+  std::map<std::string, int> engine_ports_;
+  std::vector<std::unique_ptr<Process>> services_;
+  std::vector<int> service_ports_;        // Where the service itself listens.
+  std::vector<int> service_front_ports_;  // What the plan names.
+  std::vector<int> service_proxy_admin_;
+  std::map<int, std::unique_ptr<Process>> entries_;
+  std::vector<int> caller_ports_;
+  std::vector<int> admin_ports_;
+  std::vector<int> peer_ports_;
+  std::vector<int> peer_front_ports_;  // What other instances connect to.
+  std::vector<int> entry_proxy_admin_;
+  std::vector<std::unique_ptr<Process>> proxies_;
+};
+
+}  // namespace mangoyoke::testing
+
+#endif  // MANGOYOKE_TESTS_INTEGRATION_CLUSTER_H_
