Resume cut streams while they progress; retry away from the failed server

Cause 1: a stream cut every 7 tokens ran out of its two resumes although each made progress. Resumes now count from the last token. Cause 2: Retry took the failed server by reference into the grant that EndAttempt clears, so a stalled prefill server was never excluded. Ruled out: the allocator's exclusion itself (unit path honours it). By value now. Cause 3: with all servers excluded a request waited for nothing; excluded ones are now better than none.

--- a/include/mangoyoke/slot_allocator.h
+++ b/include/mangoyoke/slot_allocator.h
@@ -47,7 +47,8 @@
   TimePoint deadline;  // Latest useful time of the first token.
   int64_t prompt_tokens = 0;
   std::vector<uint64_t> prefix_hashes;
-  std::vector<BackendId> exclude;  // Servers that failed this request.
+  // Servers that failed this request; avoided while there are others.
+  std::vector<BackendId> exclude;
 };
 
 // A prefill server and a decode server, promised together.
@@ -185,6 +186,11 @@
                    const SlotRequest& request,
                    TimePoint now) const;
   std::vector<BackendId> PoolOf(const Server& server) const;
+  // Whether servers are left besides the excluded ones. If not, the excluded
+  // ones are better than none.
+  bool OthersThanExcluded(const SlotRequest& request,
+                          BackendRole role,
+                          TimePoint now) const;
   Candidate Choose(const SlotRequest& request, TimePoint now);
   std::optional<SlotGrant> TryGrant(const SlotRequest& request, TimePoint now);
   std::optional<Error> Refusal(const SlotRequest& request,
--- a/src/coordination/slot_allocator.cc
+++ b/src/coordination/slot_allocator.cc
@@ -17,6 +17,11 @@
 // Prompts granted to one prefill server at a time: one that runs, one next.
 constexpr size_t kMaxOpenPrefills = 2;
 
+bool Excludes(const SlotRequest& request, const BackendId& id) {
+  return std::find(request.exclude.begin(), request.exclude.end(), id) !=
+         request.exclude.end();
+}
+
 }  // namespace
 
 SlotAllocator::SlotAllocator(SlotAllocatorOptions options)
@@ -326,16 +331,23 @@
   return pool;
 }
 
+bool SlotAllocator::OthersThanExcluded(const SlotRequest& request,
+                                       BackendRole role,
+                                       TimePoint now) const {
+  return std::any_of(servers_.begin(), servers_.end(), [&](const auto& entry) {
+    return Serves(entry.second, role, request) && Usable(entry.second, now) &&
+           !Excludes(request, entry.first);
+  });
+}
+
 SlotAllocator::Candidate SlotAllocator::Choose(const SlotRequest& request,
                                                TimePoint now) {
-  auto excluded = [&request](const BackendId& id) {
-    return std::find(request.exclude.begin(), request.exclude.end(), id) !=
-           request.exclude.end();
-  };
+  bool avoid_prefill = OthersThanExcluded(request, BackendRole::kPrefill, now);
+  bool avoid_decode = OthersThanExcluded(request, BackendRole::kDecode, now);
   Candidate best;
   for (auto& [prefill_id, prefill] : servers_) {
     if (!Serves(prefill, BackendRole::kPrefill, request) ||
-        excluded(prefill_id) || !Usable(prefill, now) ||
+        (avoid_prefill && Excludes(request, prefill_id)) || !Usable(prefill, now) ||
         !PrefillOpen(prefill, request, now)) {
       continue;
     }
@@ -344,7 +356,7 @@
     double lead_ms = BacklogMs(prefill, now) + PrefillMs(prefill, request);
     for (auto& [decode_id, decode] : servers_) {
       if (!Serves(decode, BackendRole::kDecode, request) ||
-          excluded(decode_id) || !Usable(decode, now)) {
+          (avoid_decode && Excludes(request, decode_id)) || !Usable(decode, now)) {
         continue;
       }
       int64_t free = FreeSlots(decode, lead_ms, now);
--- a/src/daemon/traffic/completion.cc
+++ b/src/daemon/traffic/completion.cc
@@ -296,6 +296,7 @@
                              ToMillis(now - started_));
   }
   last_token_ = now;
+  resumes_ = 0;  // The engine makes progress.
   ++delivered_;
   if (gap_tokens_++ == 0) {
     gap_since_ = now;
@@ -402,7 +403,8 @@
       .dump();
 }
 
-void Completion::Retry(std::string_view reason, const BackendId& failed) {
+// `failed` is a copy: EndAttempt clears the grant that callers take it from.
+void Completion::Retry(std::string_view reason, BackendId failed) {
   context_.metrics.Count("mangoyoke_retries_total", "reason", reason);
   LogEvent("completion_retry", LogLevel::kDebug)
       .Field("request", attempt_id_)
@@ -410,7 +412,7 @@
       .Field("backend", failed);
   EndAttempt();
   if (!failed.empty()) {
-    failed_.push_back(failed);
+    failed_.push_back(std::move(failed));
   }
   bool accepted = delivered_ > 0 || parameters_.resume.has_value();
   if (attempts_ >= kMaxAttempts ||
--- a/src/daemon/traffic/completion.h
+++ b/src/daemon/traffic/completion.h
@@ -54,7 +54,7 @@
   void WriteToken(const std::string& token, int64_t index);
   void Finish();
   void Fail(const Error& error);
-  void Retry(std::string_view reason, const BackendId& failed);
+  void Retry(std::string_view reason, BackendId failed);
   void ObserveFailure(const BackendId& backend);
   void ObserveGap();
   void CancelEngines();
@@ -81,7 +81,7 @@
   std::vector<BackendId> failed_;
   TransferId transfer_ = 0;  // The exchange under way.
   TimePoint stage_started_;
-  int resumes_ = 0;        // Of this attempt, on the same engine.
+  int resumes_ = 0;        // On the same engine since the last token.
   bool decoding_ = false;  // A decode server knows this attempt.
 
   EventSplitter splitter_;
