--- a/include/mangoyoke/slot_allocator.h
+++ b/include/mangoyoke/slot_allocator.h
@@ -182,6 +182,13 @@
   double BacklogMs(const Server& server, TimePoint now) const;
   double PrefillMs(const Server& server, const SlotRequest& request) const;
   double TransferMs(const Server& server, const SlotRequest& request) const;
+  // Wait for the server's link after prefill ends in `prefilled_ms`.
+  double LinkWaitMs(const Server& server,
+                    double prefilled_ms,
+                    TimePoint now) const;
+  // Time that a request takes from its prefill server: prefill and transfer
+  // of different requests overlap, so the longer one counts.
+  double WorkMs(const SlotRequest& request) const;
   bool PrefillOpen(const Server& server,
                    const SlotRequest& request,
                    TimePoint now) const;
--- a/src/coordination/slot_allocator.cc
+++ b/src/coordination/slot_allocator.cc
@@ -133,14 +133,22 @@
       continue;
     }
     ++ahead;
-    ahead_ms += static_cast<double>(request.prompt_tokens) *
-                static_cast<double>(
-                    servers_.begin()->second.model.prefill_us_per_token) /
-                kMicrosPerMilli;
+    ahead_ms += WorkMs(request);
   }
   return decisions;
 }
 
+double SlotAllocator::WorkMs(const SlotRequest& request) const {
+  double least = std::numeric_limits<double>::max();
+  for (const auto& [id, server] : servers_) {
+    if (Serves(server, BackendRole::kPrefill, request)) {
+      least = std::min(least, std::max(PrefillMs(server, request),
+                                       TransferMs(server, request)));
+    }
+  }
+  return least == std::numeric_limits<double>::max() ? 0 : least;
+}
+
 void SlotAllocator::Assert(const AssertedGrant& asserted, TimePoint now) {
   if (grants_.contains(asserted.grant.id)) {
     return;
@@ -306,18 +314,22 @@
   return bytes / per_second * 1000;
 }
 
+double SlotAllocator::LinkWaitMs(const Server& server,
+                                 double prefilled_ms,
+                                 TimePoint now) const {
+  return std::max(0.0, ToMillis(server.link_free - now) - prefilled_ms);
+}
+
 bool SlotAllocator::PrefillOpen(const Server& server,
                                 const SlotRequest& request,
                                 TimePoint now) const {
-  if (server.open.empty()) {
-    return true;
-  }
   double backlog_ms = BacklogMs(server, now);
-  double done_ms = backlog_ms + PrefillMs(server, request);
-  double link_wait_ms = ToMillis(server.link_free - now) - done_ms;
-  return server.open.size() < kMaxOpenPrefills &&
+  double prefilled_ms = backlog_ms + PrefillMs(server, request);
+  // A server whose work is overdue may be a straggler: nothing is queued.
+  bool overdue = !server.open.empty() && server.work_free <= now;
+  return !overdue && server.open.size() < kMaxOpenPrefills &&
          backlog_ms <= options_.prefill_lookahead_ms &&
-         link_wait_ms <= options_.max_link_wait_ms;
+         LinkWaitMs(server, prefilled_ms, now) <= options_.max_link_wait_ms;
 }
 
 std::vector<BackendId> SlotAllocator::PoolOf(const Server& server) const {
@@ -347,16 +359,19 @@
   Candidate best;
   for (auto& [prefill_id, prefill] : servers_) {
     if (!Serves(prefill, BackendRole::kPrefill, request) ||
-        (avoid_prefill && Excludes(request, prefill_id)) || !Usable(prefill, now) ||
-        !PrefillOpen(prefill, request, now)) {
+        (avoid_prefill && Excludes(request, prefill_id)) ||
+        !Usable(prefill, now) || !PrefillOpen(prefill, request, now)) {
       continue;
     }
     // A prefix hit is worth waiting for while the wait is shorter than the
     // prefill it saves: the sum of both decides.
     double lead_ms = BacklogMs(prefill, now) + PrefillMs(prefill, request);
+    double first_token_ms = lead_ms + LinkWaitMs(prefill, lead_ms, now) +
+                            TransferMs(prefill, request);
     for (auto& [decode_id, decode] : servers_) {
       if (!Serves(decode, BackendRole::kDecode, request) ||
-          (avoid_decode && Excludes(request, decode_id)) || !Usable(decode, now)) {
+          (avoid_decode && Excludes(request, decode_id)) ||
+          !Usable(decode, now)) {
         continue;
       }
       int64_t free = FreeSlots(decode, lead_ms, now);
@@ -366,7 +381,7 @@
       double load = 1 - static_cast<double>(free) /
                             static_cast<double>(decode.config.slots);
       bool cross_zone = prefill.config.zone != decode.config.zone;
-      double cost_ms = lead_ms + load * options_.cross_zone_ms * 2 +
+      double cost_ms = first_token_ms + load * options_.cross_zone_ms * 2 +
                        (cross_zone ? options_.cross_zone_ms : 0);
       if (best.prefill == nullptr || cost_ms < best.cost_ms) {
         best = Candidate{&prefill, &decode, cost_ms};
--- a/src/daemon/traffic/completion.cc
+++ b/src/daemon/traffic/completion.cc
@@ -29,6 +29,14 @@
 // Tokens of one measurement of the time between tokens.
 constexpr int64_t kGapWindow = 8;
 constexpr double kSlowReport = 1.5;
+// A prefill is given up early beyond this multiple of its prediction.
+constexpr double kSlowPrefillFactor = 1.5;
+constexpr Millis kSlowPrefillSlack{50};
+// A stream moves away from a server that is this many times slower than the
+// target, if that saves this multiple of its new prefill.
+constexpr double kMoveSlowness = 2;
+constexpr double kMoveGain = 2;
+constexpr double kMicrosPerMilli = 1000;
 // A prediction below this is mostly overhead and says little.
 constexpr double kLeastPrefillMs = 20;
 constexpr int kGone = 410;
@@ -298,16 +306,16 @@
   last_token_ = now;
   resumes_ = 0;  // The engine makes progress.
   ++delivered_;
-  if (gap_tokens_++ == 0) {
-    gap_since_ = now;
-  } else if (gap_tokens_ > kGapWindow) {
-    ObserveGap();
-  }
   if (parameters_.stream) {
     WriteToken(token, index);
   } else {
     text_ += token;
   }
+  if (gap_tokens_++ == 0) {
+    gap_since_ = now;
+  } else if (gap_tokens_ > kGapWindow) {
+    ObserveGap();
+  }
 }
 
 void Completion::ObserveGap() {
@@ -324,6 +332,10 @@
         attempt_id_, BackendObservation{grant_.decode, slowness, false});
   }
   reported_slow_ = slow;
+  if (MovePays(gap_ms) && context_.retries.TryRetry()) {
+    moved_ = true;
+    Retry("stream_moved", grant_.decode);
+  }
 }
 
 void Completion::WriteToken(const std::string& token, int64_t index) {
@@ -506,6 +518,10 @@
     return;
   }
   ControlFlow(now);
+  if (stage_ == Stage::kPrefill) {
+    GiveUpSlowPrefill(now);
+    return;
+  }
   if (done() || stage_ != Stage::kDecode || paused_ || transfer_ == 0) {
     return;
   }
@@ -530,6 +546,35 @@
   }
 }
 
+void Completion::GiveUpSlowPrefill(TimePoint now) {
+  Duration limit = FromMillis(std::max(kLeastPrefillMs, grant_.predicted_ms) *
+                              kSlowPrefillFactor) +
+                   kSlowPrefillSlack;
+  if (now - stage_started_ < limit || attempts_ >= kMaxAttempts - 1 || moved_ ||
+      !context_.retries.TryRetry()) {
+    return;
+  }
+  moved_ = true;
+  context_.gateway.Observe(
+      attempt_id_,
+      BackendObservation{grant_.prefill, kSlowPrefillFactor * 2, false});
+  Retry("prefill_slow", grant_.prefill);
+}
+
+bool Completion::MovePays(double gap_ms) const {
+  if (moved_ || parameters_.max_tokens <= sequencer_.next()) {
+    return false;
+  }
+  auto left = static_cast<double>(parameters_.max_tokens - sequencer_.next());
+  auto target_ms = static_cast<double>(model_.token_gap_target.count());
+  double saved_ms = left * (gap_ms - target_ms);
+  double prefill_ms = static_cast<double>(EstimateTokens(parameters_.prompt)) *
+                      static_cast<double>(model_.prefill_us_per_token) /
+                      kMicrosPerMilli;
+  return gap_ms > target_ms * kMoveSlowness &&
+         saved_ms > kMoveGain * (prefill_ms + target_ms);
+}
+
 void Completion::ControlFlow(TimePoint now) {
   auto limit = static_cast<size_t>(context_.settings.max_buffered_bytes);
   size_t pending = stream_->PendingBytes();
--- a/src/daemon/traffic/completion.h
+++ b/src/daemon/traffic/completion.h
@@ -60,6 +60,10 @@
   void CancelEngines();
   void EndAttempt();
   void End();
+  // Gives a prefill up that takes far longer than predicted.
+  void GiveUpSlowPrefill(TimePoint now);
+  // Whether moving the stream to another server saves more than it costs.
+  bool MovePays(double gap_ms) const;
   void ControlFlow(TimePoint now);
   std::string AnswerJson() const;
   void LogEnd(std::string_view result) const;
@@ -95,6 +99,7 @@
   TimePoint gap_since_;    // Start of the current gap measurement.
   int64_t gap_tokens_ = 0;
   bool reported_slow_ = false;
+  bool moved_ = false;   // Left a slow server once; not again.
   bool paused_ = false;  // Reading stopped for a slow caller.
   TimePoint paused_since_;
 };
--- a/tests/unit/plan_test.cc
+++ b/tests/unit/plan_test.cc
@@ -50,8 +50,9 @@
 
 TEST(PlanTest, ReferencesAreChecked) {
   std::string text = kText;
-  text += "[backend d2]\nurl = http://x:1\nzone = a\nrole = decode\n"
-          "model = none\n";
+  text +=
+      "[backend d2]\nurl = http://x:1\nzone = a\nrole = decode\n"
+      "model = none\n";
   auto error = std::get<Error>(ParsePlan(text, "plan.ini", 1));
   EXPECT_NE(error.detail.find("no [model none]"), std::string::npos);
 }
