--- a/src/daemon/control/slots/engine_prober.cc
+++ b/src/daemon/control/slots/engine_prober.cc
@@ -48,8 +48,8 @@
   if (probe.prefill.empty()) {
     return;
   }
-  probe.request_id = context_.membership.self().id + "-probe-" +
-                     std::to_string(++last_id_);
+  probe.request_id =
+      context_.membership.self().id + "-probe-" + std::to_string(++last_id_);
   probe.started = SteadyClock::now();
   const Model& model = plan->models.at(backend.model);
   probe.expected_ms =
@@ -70,13 +70,13 @@
   request.method = "POST";
   request.url = plan->backends.at(probe.prefill).url + "/v1/prefill";
   request.timeout = kProbeTimeout;
-  request.body =
-      Json{{"request_id", probe.request_id},
-           {"owner", PrintOwner(RequestOwner{self.id, self.incarnation})},
-           {"model", plan->backends.at(probe.prefill).model},
-           {"prompt", prompt},
-           {"priority", 0}}
-          .dump();
+  request.body = Json{
+      {"request_id", probe.request_id},
+      {"owner", PrintOwner(RequestOwner{self.id, self.incarnation})},
+      {"model", plan->backends.at(probe.prefill).model},
+      {"prompt", prompt},
+      {"priority",
+       0}}.dump();
   context_.http.Start(
       std::move(request), [this, probe](ClientResponse response) {
         Json answer = Json::parse(response.body, nullptr, false);
@@ -107,16 +107,16 @@
   request.method = "POST";
   request.url = target->second.url + "/v1/decode";
   request.timeout = kProbeTimeout;
-  request.body =
-      Json{{"request_id", probe.request_id},
-           {"owner", PrintOwner(RequestOwner{self.id, self.incarnation})},
-           {"model", target->second.model},
-           {"source", source->second.url},
-           {"handle", handle},
-           {"max_tokens", kProbeTokens},
-           {"offset", 0},
-           {"priority", 0}}
-          .dump();
+  request.body = Json{
+      {"request_id", probe.request_id},
+      {"owner", PrintOwner(RequestOwner{self.id, self.incarnation})},
+      {"model", target->second.model},
+      {"source", source->second.url},
+      {"handle", handle},
+      {"max_tokens", kProbeTokens},
+      {"offset", 0},
+      {"priority",
+       0}}.dump();
   context_.http.Start(std::move(request),
                       [this, probe](ClientResponse response) {
                         if (!response.Succeeded()) {
--- a/src/daemon/traffic/completion.cc
+++ b/src/daemon/traffic/completion.cc
@@ -551,8 +551,8 @@
                               kSlowPrefillFactor) +
                    kSlowPrefillSlack;
   bool predicted = grant_.predicted_ms > 0;
-  if (!predicted || now - stage_started_ < limit || attempts_ >= kMaxAttempts - 1 || moved_ ||
-      !context_.retries.TryRetry()) {
+  if (!predicted || now - stage_started_ < limit ||
+      attempts_ >= kMaxAttempts - 1 || moved_ || !context_.retries.TryRetry()) {
     return;
   }
   moved_ = true;
