--- a/src/base/ini_document.cc
+++ b/src/base/ini_document.cc
@@ -10,6 +10,7 @@
 #include <boost/property_tree/ptree.hpp>
 #include <charconv>
 #include <sstream>
+#include <unordered_map>
 
 namespace mangoyoke {
 namespace {
@@ -21,29 +22,23 @@
  public:
   explicit LineIndex(const std::string& text) {
     boost::split(lines_, text, boost::is_any_of("\n"));
-    for (std::string& line : lines_) {
+    for (size_t i = 0; i < lines_.size(); ++i) {
+      std::string& line = lines_[i];
       boost::trim(line);
+      if (line.size() > 2 && line.front() == '[' && line.back() == ']') {
+        std::string header = boost::trim_copy(line.substr(1, line.size() - 2));
+        headers_.push_back(header);
+        section_lines_.emplace(header, static_cast<int>(i) + 1);
+      }
     }
   }
 
   // The headers of all sections, in order.
-  std::vector<std::string> Headers() const {
-    std::vector<std::string> headers;
-    for (const std::string& line : lines_) {
-      if (IsHeader(line)) {
-        headers.push_back(HeaderOf(line));
-      }
-    }
-    return headers;
-  }
+  const std::vector<std::string>& Headers() const { return headers_; }
 
   int OfSection(const std::string& header) const {
-    for (size_t i = 0; i < lines_.size(); ++i) {
-      if (IsHeader(lines_[i]) && HeaderOf(lines_[i]) == header) {
-        return static_cast<int>(i) + 1;
-      }
-    }
-    return 0;
+    auto it = section_lines_.find(header);
+    return it == section_lines_.end() ? 0 : it->second;
   }
 
   int OfKey(int section_line, const std::string& key) const {
@@ -60,15 +55,9 @@
   }
 
  private:
-  static bool IsHeader(const std::string& line) {
-    return line.size() > 2 && line.front() == '[' && line.back() == ']';
-  }
-
-  static std::string HeaderOf(const std::string& line) {
-    return boost::trim_copy(line.substr(1, line.size() - 2));
-  }
-
   std::vector<std::string> lines_;
+  std::vector<std::string> headers_;
+  std::unordered_map<std::string, int> section_lines_;
 };
 
 IniSection ConvertSection(const std::string& header,
--- a/src/daemon/control/admin/admin_api.cc
+++ b/src/daemon/control/admin/admin_api.cc
@@ -36,7 +36,7 @@
 void AdminApi::GetPlan(const std::shared_ptr<ResponseStream>& stream) {
   PlanService& plans = control_.plans();
   SendJson(stream, 200,
-           Json{{"revision", plans.revision()}, {"text", plans.text()}}.dump());
+           Json{{"revision", plans.revision()}, {"text", plans.Text()}}.dump());
 }
 
 void AdminApi::SubmitPlan(const ServerRequest& request,
--- a/src/daemon/control/control_plane.cc
+++ b/src/daemon/control/control_plane.cc
@@ -162,6 +162,7 @@
   return Json{{"instance", self_.instance},
               {"incarnation", self_.incarnation},
               {"zone", settings_.zone},
+              {"peer_address", settings_.peers},
               {"revision", plans_->revision()},
               {"leaving", leaving_},
               {"suspended", members_->suspended()},
--- /dev/null
+++ b/src/daemon/control/plan/plan_codec.cc
@@ -0,0 +1,77 @@
+// Encoding of plan rows and messages.
+
+#include "daemon/control/plan/plan_codec.h"
+
+#include <iomanip>
+#include <sstream>
+
+namespace mangoyoke {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kRevisionDigits = 12;
+constexpr Revision kSnapshotInterval = 64;
+
+}  // namespace
+
+bool IsSnapshot(Revision revision) {
+  return revision % kSnapshotInterval == 1;
+}
+
+Revision SnapshotBefore(Revision revision) {
+  return (revision - 1) / kSnapshotInterval * kSnapshotInterval + 1;
+}
+
+std::string RowKey(Revision revision) {
+  std::ostringstream key;
+  key << std::setw(kRevisionDigits) << std::setfill('0') << revision;
+  return key.str();
+}
+
+Json EncodeDelta(const PlanDelta& delta) {
+  return Json{{"revision", delta.revision},
+              {"changed", delta.changed},
+              {"removed", delta.removed}};
+}
+
+PlanDelta DecodeDelta(const Json& message) {
+  PlanDelta delta;
+  delta.revision = message.at("revision").get<Revision>();
+  delta.changed = message.at("changed").get<PlanSections>();
+  delta.removed = message.at("removed").get<std::vector<std::string>>();
+  return delta;
+}
+
+std::string PrintRow(const PlanRow& row) {
+  Json json{{"submission_id", row.submission_id},
+            {"delta", EncodeDelta(row.delta)}};
+  if (row.text) {
+    json["text"] = *row.text;
+  }
+  return json.dump();
+}
+
+std::optional<PlanRow> ParseRowAnswer(const std::string& body) {
+  Json answer = Json::parse(body, nullptr, false);
+  if (!answer.is_object()) {
+    return std::nullopt;
+  }
+  Json json = Json::parse(answer.value("value", ""), nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  try {
+    PlanRow row;
+    row.submission_id = json.at("submission_id").get<std::string>();
+    row.delta = DecodeDelta(json.at("delta"));
+    if (json.contains("text")) {
+      row.text = json["text"].get<std::string>();
+    }
+    return row;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace mangoyoke
--- a/src/daemon/control/plan/plan_service.cc
+++ b/src/daemon/control/plan/plan_service.cc
@@ -2,57 +2,18 @@
 
 #include "daemon/control/plan/plan_service.h"
 
-#include <iomanip>
-#include <sstream>
-
 #include "base/log.h"
 
 namespace mangoyoke {
 namespace {
 
-constexpr int kRevisionDigits = 12;
 constexpr Millis kReadTimeout{2000};
 constexpr Millis kWriteTimeout{3000};
 constexpr Millis kPullTimeout{3000};
+constexpr size_t kMaxHistory = 256;
 constexpr int kConflict = 409;
 constexpr int kNotFound = 404;
 
-// Zero-padded, so that rows sort by revision.
-std::string RowKey(Revision revision) {
-  std::ostringstream key;
-  key << std::setw(kRevisionDigits) << std::setfill('0') << revision;
-  return key.str();
-}
-
-// The submission in a row of the table "plan".
-struct PlanRow {
-  Revision revision = 0;
-  std::string submission_id;
-  std::string text;
-};
-
-std::string PrintRow(const PlanSubmission& submission) {
-  return Json{{"revision", submission.base + 1},
-              {"submission_id", submission.submission_id},
-              {"text", submission.text}}
-      .dump();
-}
-
-std::optional<PlanRow> ParseRow(const std::string& value) {
-  Json json = Json::parse(value, nullptr, false);
-  if (!json.is_object()) {
-    return std::nullopt;
-  }
-  return PlanRow{json.value("revision", Revision{0}),
-                 json.value("submission_id", ""), json.value("text", "")};
-}
-
-// The member "value" of a table service's answer.
-std::string RowValue(const std::string& body) {
-  Json json = Json::parse(body, nullptr, false);
-  return json.is_object() ? json.value("value", "") : "";
-}
-
 }  // namespace
 
 PlanService::PlanService(ControlContext context) : context_(context) {}
@@ -69,37 +30,84 @@
   return current_;
 }
 
+void PlanService::ReadRow(const std::string& key, RowCallback callback) {
+  ClientRequest request;
+  request.url = context_.settings.platform_url + "/tables/plan";
+  if (!key.empty()) {
+    request.url += "/" + key;
+  }
+  request.timeout = kReadTimeout;
+  context_.http.Start(
+      std::move(request), [callback](const ClientResponse& response) {
+        callback(response, response.Succeeded() ? ParseRowAnswer(response.body)
+                                                : std::nullopt);
+      });
+}
+
 void PlanService::ReadStore() {
   if (reading_) {
     return;
   }
   reading_ = true;
-  ClientRequest request;
-  request.url = context_.settings.platform_url + "/tables/plan";
-  request.timeout = kReadTimeout;
-  context_.http.Start(std::move(request), [this](ClientResponse response) {
-    reading_ = false;
-    if (!response.Succeeded()) {
-      if (response.status != kNotFound) {
-        context_.metrics.Count("mangoyoke_store_errors_total", "call",
-                               "read_plan");
-      }
-      return;
-    }
-    if (auto row = ParseRow(RowValue(response.body))) {
-      Adopt(row->text, row->revision, "store");
-    }
-  });
+  ReadRow("",
+          [this](const ClientResponse& response, std::optional<PlanRow> row) {
+            reading_ = false;
+            if (row) {
+              if (!TakeRow(*row, "store")) {
+                CatchUp(row->delta.revision);
+              }
+            } else if (response.status != kNotFound) {
+              context_.metrics.Count("mangoyoke_store_errors_total", "call",
+                                     "read_plan");
+            }
+          });
+}
+
+void PlanService::CatchUp(Revision last) {
+  if (reading_ || last <= revision_) {
+    return;
+  }
+  reading_ = true;
+  Revision next = revision_ == 0 ? SnapshotBefore(last) : revision_ + 1;
+  ReadRow(RowKey(next),
+          [this, last](const ClientResponse&, std::optional<PlanRow> row) {
+            reading_ = false;
+            if (row && TakeRow(*row, "store")) {
+              CatchUp(last);
+            }
+          });
 }
 
-bool PlanService::Adopt(const std::string& text,
+bool PlanService::TakeRow(const PlanRow& row, const char* source) {
+  if (TakeDelta(row.delta, source)) {
+    return true;
+  }
+  return row.text &&
+         Adopt(SplitSections(*row.text), row.delta.revision, source);
+}
+
+bool PlanService::TakeDelta(const PlanDelta& delta, const char* source) {
+  if (delta.revision != revision_ + 1) {
+    return false;
+  }
+  if (!Adopt(ApplyDelta(sections_, delta), delta.revision, source)) {
+    return false;
+  }
+  history_.push_back(delta);
+  if (history_.size() > kMaxHistory) {
+    history_.pop_front();
+  }
+  return true;
+}
+
+bool PlanService::Adopt(PlanSections sections,
                         Revision revision,
                         const char* source) {
   if (revision <= revision_) {
     return false;  // An old read, or news already known.
   }
-  auto parsed =
-      ParsePlan(text, "revision " + std::to_string(revision), revision);
+  auto parsed = ParsePlan(JoinSections(sections),
+                          "revision " + std::to_string(revision), revision);
   if (const auto* error = std::get_if<Error>(&parsed)) {
     LogEvent("plan_rejected", LogLevel::kError)
         .Field("revision", static_cast<int64_t>(revision))
@@ -111,7 +119,10 @@
     std::lock_guard lock(mutex_);
     current_ = plan;
   }
-  text_ = text;
+  if (revision != revision_ + 1) {
+    history_.clear();  // There would be a gap.
+  }
+  sections_ = std::move(sections);
   revision_ = revision;
   context_.metrics.Set("mangoyoke_plan_revision",
                        static_cast<double>(revision));
@@ -122,7 +133,8 @@
   return true;
 }
 
-void PlanService::Submit(PlanSubmission submission, SubmitCallback callback) {
+void PlanService::Submit(const PlanSubmission& submission,
+                         const SubmitCallback& callback) {
   auto parsed = ParsePlan(submission.text, "plan", submission.base + 1);
   if (const auto* error = std::get_if<Error>(&parsed)) {
     callback(*error);
@@ -134,74 +146,96 @@
         "this instance knows revision " + std::to_string(revision_) + " only"});
     return;
   }
+  if (submission.base < revision_) {
+    // Too late, or a repeated submission that was accepted before.
+    ResolveSubmit(submission, callback);
+    return;
+  }
+  std::string text = PrintPlan(std::get<Plan>(parsed));
+  PlanRow row;
+  row.submission_id = submission.submission_id;
+  row.delta = MakeDelta(sections_, SplitSections(text), submission.base + 1);
+  if (IsSnapshot(row.delta.revision)) {
+    row.text = text;
+  }
+  WriteRow(submission, row, callback);
+}
+
+void PlanService::WriteRow(const PlanSubmission& submission,
+                           const PlanRow& row,
+                           const SubmitCallback& callback) {
   ClientRequest request;
   request.method = "PUT";
   request.url = context_.settings.platform_url + "/tables/plan/" +
-                RowKey(submission.base + 1);
-  request.body =
-      Json{{"expected_version", 0}, {"value", PrintRow(submission)}}.dump();
+                RowKey(row.delta.revision);
+  request.body = Json{{"expected_version", 0}, {"value", PrintRow(row)}}.dump();
   request.timeout = kWriteTimeout;
   request.fresh_connection = true;
-  context_.http.Start(std::move(request), [this, submission,
-                                           callback](ClientResponse response) {
+  context_.http.Start(std::move(request), [this, submission, callback](
+                                              const ClientResponse& response) {
     if (response.end == TransferEnd::kNotConnected) {
       callback(Error{ErrorCode::kStoreUnavailable, response.error});
-      return;
-    }
-    if (response.end != TransferEnd::kComplete) {
-      ResolveLostReply(submission, callback);
-      return;
+    } else if (response.end != TransferEnd::kComplete) {
+      context_.metrics.Count("mangoyoke_store_lost_replies_total");
+      ResolveSubmit(submission, callback);
+    } else if (response.Succeeded() || response.status == kConflict) {
+      FinishSubmit(submission, ParseRowAnswer(response.body), callback);
+    } else {
+      callback(Error{ErrorCode::kStoreUnavailable,
+                     "status " + std::to_string(response.status)});
     }
-    if (response.Succeeded() || response.status == kConflict) {
-      FinishSubmit(submission, RowValue(response.body), callback);
-      return;
-    }
-    callback(Error{ErrorCode::kStoreUnavailable,
-                   "status " + std::to_string(response.status)});
   });
 }
 
-void PlanService::ResolveLostReply(const PlanSubmission& submission,
-                                   SubmitCallback callback) {
-  context_.metrics.Count("mangoyoke_store_lost_replies_total");
-  ClientRequest request;
-  request.url = context_.settings.platform_url + "/tables/plan/" +
-                RowKey(submission.base + 1);
-  request.timeout = kReadTimeout;
-  context_.http.Start(std::move(request), [this, submission,
-                                           callback](ClientResponse response) {
-    if (response.Succeeded()) {
-      FinishSubmit(submission, RowValue(response.body), callback);
-      return;
-    }
-    // Absence proves nothing: the write may still take effect.
-    callback(Error{ErrorCode::kSubmitUnknown, response.error});
-  });
+void PlanService::ResolveSubmit(const PlanSubmission& submission,
+                                const SubmitCallback& callback) {
+  ReadRow(RowKey(submission.base + 1),
+          [this, submission, callback](const ClientResponse& response,
+                                       std::optional<PlanRow> row) {
+            if (row) {
+              FinishSubmit(submission, row, callback);
+              return;
+            }
+            // Absence proves nothing: the write may still take effect.
+            callback(Error{ErrorCode::kSubmitUnknown, response.error});
+          });
 }
 
 void PlanService::FinishSubmit(const PlanSubmission& submission,
-                               const std::string& row_value,
+                               const std::optional<PlanRow>& row,
                                const SubmitCallback& callback) {
-  auto row = ParseRow(row_value);
   if (!row) {
     callback(Error{ErrorCode::kSubmitUnknown, "unreadable row"});
     return;
   }
-  Adopt(row->text, row->revision, "submit");
+  TakeRow(*row, "submit");
   if (row->submission_id == submission.submission_id) {
-    callback(row->revision);
+    callback(row->delta.revision);
     return;
   }
   callback(Error{ErrorCode::kPlanConflict,
-                 "revision " + std::to_string(row->revision) +
+                 "revision " + std::to_string(row->delta.revision) +
                      " was accepted from another submission"});
 }
 
 Result<Json> PlanService::OnPlanRequest(const Json& message) const {
-  if (message.value("have", Revision{0}) >= revision_) {
-    return Json{{"r", revision_}};
+  Revision have = message.at("have").get<Revision>();
+  Json answer{{"r", revision_}};
+  if (have >= revision_) {
+    return answer;
+  }
+  if (history_.empty() || history_.front().revision > have + 1) {
+    answer["t"] = Text();
+    return answer;
+  }
+  Json deltas = Json::array();
+  for (const PlanDelta& delta : history_) {
+    if (delta.revision > have) {
+      deltas.push_back(EncodeDelta(delta));
+    }
   }
-  return Json{{"r", revision_}, {"t", text_}};
+  answer["d"] = std::move(deltas);
+  return answer;
 }
 
 void PlanService::PullFrom(const std::string& address) {
@@ -209,18 +243,22 @@
     return;
   }
   pulling_ = true;
-  context_.peers.Call(address, "/plan/get", Json{{"have", revision_}},
-                      kPullTimeout, [this](Result<Json> result) {
-                        pulling_ = false;
-                        if (!Ok(result)) {
-                          return;
-                        }
-                        const Json& answer = std::get<Json>(result);
-                        if (answer.contains("t")) {
-                          Adopt(answer["t"].get<std::string>(),
-                                answer.at("r").get<Revision>(), "peer");
-                        }
-                      });
+  context_.peers.Call(
+      address, "/plan/get", Json{{"have", revision_}}, kPullTimeout,
+      [this](Result<Json> result) {
+        pulling_ = false;
+        if (!Ok(result)) {
+          return;
+        }
+        const Json& answer = std::get<Json>(result);
+        if (answer.contains("t")) {
+          Adopt(SplitSections(answer["t"].get<std::string>()),
+                answer.at("r").get<Revision>(), "peer");
+        }
+        for (const Json& delta : answer.value("d", Json::array())) {
+          TakeDelta(DecodeDelta(delta), "peer");
+        }
+      });
 }
 
 }  // namespace mangoyoke
--- a/src/daemon/control/plan/plan_service.h
+++ b/src/daemon/control/plan/plan_service.h
@@ -4,12 +4,14 @@
 #ifndef MANGOYOKE_DAEMON_CONTROL_PLAN_PLAN_SERVICE_H_
 #define MANGOYOKE_DAEMON_CONTROL_PLAN_PLAN_SERVICE_H_
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
 
 #include "daemon/control/control_context.h"
+#include "daemon/control/plan/plan_codec.h"
 #include "mangoyoke/plan.h"
 
 namespace mangoyoke {
@@ -31,14 +33,14 @@
 
   // The plan in force, from any thread; null if none is known.
   std::shared_ptr<const Plan> Current() const;
-  const std::string& text() const { return text_; }
+  std::string Text() const { return JoinSections(sections_); }
   Revision revision() const { return revision_; }
 
   // Submits to the table service. The callback gets the accepted revision.
   using SubmitCallback = std::function<void(Result<Revision>)>;
-  void Submit(PlanSubmission submission, SubmitCallback callback);
+  void Submit(const PlanSubmission& submission, const SubmitCallback& callback);
 
-  // Another instance asks for the plan if it is newer than what it has.
+  // Another instance asks for what is newer than what it has.
   Result<Json> OnPlanRequest(const Json& message) const;
   // Another instance at `address` has a newer plan.
   void PullFrom(const std::string& address);
@@ -47,20 +49,35 @@
   Observers<const Plan&> on_plan;
 
  private:
+  using RowCallback =
+      std::function<void(const ClientResponse&, std::optional<PlanRow>)>;
+
+  // Reads one row, or the last one if `key` is empty.
+  void ReadRow(const std::string& key, RowCallback callback);
   void ReadStore();
+  // Reads what is missing up to `last`, row by row.
+  void CatchUp(Revision last);
+  bool TakeRow(const PlanRow& row, const char* source);
+  bool TakeDelta(const PlanDelta& delta, const char* source);
   // Takes a plan into force if it is newer than the current one.
-  bool Adopt(const std::string& text, Revision revision, const char* source);
-  void ResolveLostReply(const PlanSubmission& submission,
-                        SubmitCallback callback);
+  bool Adopt(PlanSections sections, Revision revision, const char* source);
+  void WriteRow(const PlanSubmission& submission,
+                const PlanRow& row,
+                const SubmitCallback& callback);
+  // Reads the row that `submission` wanted to write, to see whose it is.
+  void ResolveSubmit(const PlanSubmission& submission,
+                     const SubmitCallback& callback);
   void FinishSubmit(const PlanSubmission& submission,
-                    const std::string& row_value,
+                    const std::optional<PlanRow>& row,
                     const SubmitCallback& callback);
 
   ControlContext context_;
   mutable std::mutex mutex_;  // Guards current_ only.
   std::shared_ptr<const Plan> current_;
-  std::string text_;
+  PlanSections sections_;
   Revision revision_ = 0;  // Never decreases.
+  // The last deltas, oldest first, without a gap, ending at revision_.
+  std::deque<PlanDelta> history_;
   bool reading_ = false;
   bool pulling_ = false;
   std::unique_ptr<PeriodicTimer> read_timer_;
--- /dev/null
+++ b/src/daemon/traffic/answer_writer.cc
@@ -0,0 +1,99 @@
+// Implementation of the answer writer.
+
+#include "daemon/traffic/answer_writer.h"
+
+#include <nlohmann/json.hpp>
+
+#include "daemon/traffic/traffic_context.h"
+
+namespace mangoyoke {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kOk = 200;
+
+}  // namespace
+
+AnswerWriter::AnswerWriter(AnswerFormat format,
+                           std::shared_ptr<ResponseStream> stream)
+    : format_(std::move(format)), stream_(std::move(stream)) {}
+
+void AnswerWriter::StartEvents() {
+  if (!stream_->started()) {
+    stream_->StartChunks(kOk, "text/event-stream",
+                         {{"X-Request-Id", format_.id}});
+  }
+}
+
+std::string AnswerWriter::Chunk(const std::string& token,
+                                const char* finish_reason) const {
+  Json choice{{"index", 0}, {"finish_reason", nullptr}};
+  if (finish_reason != nullptr) {
+    choice["finish_reason"] = finish_reason;
+  }
+  if (!format_.chat) {
+    choice["text"] = token;
+  } else {
+    choice["delta"] = token.empty() ? Json::object() : Json{{"content", token}};
+  }
+  return Json{
+      {"id", format_.id},
+      {"object", format_.chat ? "chat.completion.chunk" : "text_completion"},
+      {"model", format_.model},
+      {"choices", Json::array({std::move(choice)})}}
+      .dump();
+}
+
+void AnswerWriter::AddToken(const std::string& token,
+                            const std::string& event_id) {
+  if (!format_.stream) {
+    text_ += token;
+    return;
+  }
+  StartEvents();
+  std::string event = "id: ";
+  event.append(event_id)
+      .append("\ndata: ")
+      .append(Chunk(token, nullptr))
+      .append("\n\n");
+  stream_->WriteChunk(event);
+}
+
+void AnswerWriter::Finish(int64_t prompt_tokens, int64_t completion_tokens) {
+  if (format_.stream) {
+    StartEvents();
+    stream_->WriteChunk("data: " + Chunk("", "length") +
+                        "\n\ndata: [DONE]\n\n");
+    stream_->FinishChunks();
+    return;
+  }
+  Json choice{{"index", 0}, {"finish_reason", "length"}};
+  if (format_.chat) {
+    choice["message"] = Json{{"role", "assistant"}, {"content", text_}};
+  } else {
+    choice["text"] = text_;
+  }
+  Json answer{
+      {"id", format_.id},
+      {"object", format_.chat ? "chat.completion" : "text_completion"},
+      {"model", format_.model},
+      {"choices", Json::array({std::move(choice)})},
+      {"usage", Json{{"prompt_tokens", prompt_tokens},
+                     {"completion_tokens", completion_tokens},
+                     {"total_tokens", prompt_tokens + completion_tokens}}}};
+  SendJson(stream_, kOk, answer.dump(), {{"X-Request-Id", format_.id}});
+}
+
+void AnswerWriter::Fail(Metrics& metrics, const Error& error) {
+  if (!stream_->started()) {
+    Refuse(metrics, stream_, error);
+    return;
+  }
+  metrics.Count("mangoyoke_broken_answers_total", "reason",
+                InfoOf(error.code).name);
+  stream_->WriteChunk("data: " + ErrorJson(error) + "\n\n");
+  stream_->Abort();
+}
+
+}  // namespace mangoyoke
--- a/src/daemon/traffic/completion.cc
+++ b/src/daemon/traffic/completion.cc
@@ -58,7 +58,9 @@
       model_(plan_->models.at(parameters.model)),
       id_(std::move(id)),
       parameters_(std::move(parameters)),
-      stream_(std::move(stream)),
+      writer_(AnswerFormat{id_, parameters_.model, parameters_.stream,
+                           parameters_.chat},
+              std::move(stream)),
       started_(SteadyClock::now()),
       stage_started_(started_),
       sequencer_(parameters_.resume ? parameters_.resume->next : 0) {}
@@ -306,11 +308,7 @@
   last_token_ = now;
   resumes_ = 0;  // The engine makes progress.
   ++delivered_;
-  if (parameters_.stream) {
-    WriteToken(token, index);
-  } else {
-    text_ += token;
-  }
+  writer_.AddToken(token, PrintEventId(attempt_id_, grant_.decode, index));
   if (gap_tokens_++ == 0) {
     gap_since_ = now;
   } else if (gap_tokens_ > kGapWindow) {
@@ -338,48 +336,9 @@
   }
 }
 
-void Completion::WriteToken(const std::string& token, int64_t index) {
-  if (!stream_->started()) {
-    stream_->StartChunks(200, "text/event-stream", {{"X-Request-Id", id_}});
-  }
-  Json choice{{"index", 0}, {"finish_reason", nullptr}};
-  if (parameters_.chat) {
-    choice["delta"] = Json{{"content", token}};
-  } else {
-    choice["text"] = token;
-  }
-  Json chunk{{"id", id_},
-             {"object",
-              parameters_.chat ? "chat.completion.chunk" : "text_completion"},
-             {"model", parameters_.model},
-             {"choices", Json::array({std::move(choice)})}};
-  std::string event = "id: ";
-  event.append(PrintEventId(attempt_id_, grant_.decode, index))
-      .append("\ndata: ")
-      .append(chunk.dump())
-      .append("\n\n");
-  stream_->WriteChunk(event);
-}
-
 void Completion::Finish() {
   TimePoint now = SteadyClock::now();
-  if (parameters_.stream) {
-    if (!stream_->started()) {
-      stream_->StartChunks(200, "text/event-stream", {{"X-Request-Id", id_}});
-    }
-    Json choice{{"index", 0}, {"finish_reason", "length"}};
-    choice[parameters_.chat ? "delta" : "text"] =
-        parameters_.chat ? Json::object() : Json("");
-    Json chunk{{"id", id_},
-               {"object",
-                parameters_.chat ? "chat.completion.chunk" : "text_completion"},
-               {"model", parameters_.model},
-               {"choices", Json::array({choice})}};
-    stream_->WriteChunk("data: " + chunk.dump() + "\n\ndata: [DONE]\n\n");
-    stream_->FinishChunks();
-  } else {
-    SendJson(stream_, 200, AnswerJson(), {{"X-Request-Id", id_}});
-  }
+  writer_.Finish(EstimateTokens(parameters_.prompt), delivered_);
   double gap_ms = delivered_ > 1 ? ToMillis(last_token_ - first_token_) /
                                        static_cast<double>(delivered_ - 1)
                                  : 0;
@@ -396,25 +355,6 @@
   End();
 }
 
-std::string Completion::AnswerJson() const {
-  Json choice{{"index", 0}, {"finish_reason", "length"}};
-  if (parameters_.chat) {
-    choice["message"] = Json{{"role", "assistant"}, {"content", text_}};
-  } else {
-    choice["text"] = text_;
-  }
-  int64_t prompt_tokens = EstimateTokens(parameters_.prompt);
-  return Json{
-      {"id", id_},
-      {"object", parameters_.chat ? "chat.completion" : "text_completion"},
-      {"model", parameters_.model},
-      {"choices", Json::array({choice})},
-      {"usage", Json{{"prompt_tokens", prompt_tokens},
-                     {"completion_tokens", delivered_},
-                     {"total_tokens", prompt_tokens + delivered_}}}}
-      .dump();
-}
-
 // `failed` is a copy: EndAttempt clears the grant that callers take it from.
 void Completion::Retry(std::string_view reason, BackendId failed) {
   context_.metrics.Count("mangoyoke_retries_total", "reason", reason);
@@ -436,14 +376,7 @@
 }
 
 void Completion::Fail(const Error& error) {
-  if (stream_->started()) {
-    context_.metrics.Count("mangoyoke_broken_answers_total", "reason",
-                           InfoOf(error.code).name);
-    stream_->WriteChunk("data: " + ErrorJson(error) + "\n\n");
-    stream_->Abort();  // The caller must not take it for a whole answer.
-  } else {
-    Refuse(context_.metrics, stream_, error);
-  }
+  writer_.Fail(context_.metrics, error);
   LogEnd(InfoOf(error.code).name);
   End();
 }
@@ -509,7 +442,7 @@
   if (done()) {
     return;
   }
-  if (stream_->failed()) {
+  if (writer_.failed()) {
     CallerGone();
     return;
   }
@@ -578,7 +511,7 @@
 
 void Completion::ControlFlow(TimePoint now) {
   auto limit = static_cast<size_t>(context_.settings.max_buffered_bytes);
-  size_t pending = stream_->PendingBytes();
+  size_t pending = writer_.PendingBytes();
   if (!paused_ && pending > limit && transfer_ != 0) {
     paused_ = true;
     paused_since_ = now;
@@ -590,7 +523,7 @@
     gap_tokens_ = 0;
     context_.http.Pause(transfer_, false);
   } else if (paused_ && now - paused_since_ > kSlowCallerLimit) {
-    stream_->Abort();
+    writer_.Abort();
     CallerGone();
   }
 }
--- a/src/daemon/traffic/completion.h
+++ b/src/daemon/traffic/completion.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "daemon/traffic/answer_writer.h"
 #include "daemon/traffic/completion_parameters.h"
 #include "daemon/traffic/event_splitter.h"
 #include "daemon/traffic/traffic_context.h"
@@ -51,7 +52,6 @@
   void OnStreamEnd(const ClientResponse& response);
   void OnEvent(const std::string& data);
   void Deliver(const std::string& token, int64_t index);
-  void WriteToken(const std::string& token, int64_t index);
   void Finish();
   void Fail(const Error& error);
   void Retry(std::string_view reason, BackendId failed);
@@ -65,7 +65,6 @@
   // Whether moving the stream to another server saves more than it costs.
   bool MovePays(double gap_ms) const;
   void ControlFlow(TimePoint now);
-  std::string AnswerJson() const;
   void LogEnd(std::string_view result) const;
   std::string UrlOf(const BackendId& backend) const;
 
@@ -74,7 +73,7 @@
   const Model model_;
   const std::string id_;
   const CompletionParameters parameters_;
-  std::shared_ptr<ResponseStream> stream_;
+  AnswerWriter writer_;
 
   Stage stage_ = Stage::kPlacing;
   const TimePoint started_;
@@ -91,7 +90,6 @@
   EventSplitter splitter_;
   TokenSequencer sequencer_;
   int64_t total_ = -1;  // Tokens of the whole answer; -1 until known.
-  std::string text_;    // Of an answer that is not streamed.
   TimePoint first_token_;
   TimePoint last_token_;
   TimePoint last_data_;
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -61,8 +61,17 @@
     transfer->on_data = std::move(on_data);
     transfer->easy = curl_easy_init();
     Configure(*transfer);
-    curl_multi_add_handle(multi_, transfer->easy);
     transfers_[id] = std::move(transfer);
+    if (in_curl_) {
+      // libcurl refuses new handles inside its own callbacks.
+      asio::post(io_, [this, id, alive = alive_] {
+        if (*alive) {
+          Add(id);
+        }
+      });
+    } else {
+      Add(id);
+    }
     return id;
   }
 
@@ -344,6 +353,12 @@
                                             : TransferEnd::kBroken;
   }
 
+  void Add(TransferId id) {
+    if (auto it = transfers_.find(id); it != transfers_.end()) {
+      curl_multi_add_handle(multi_, it->second->easy);
+    }
+  }
+
   void Remove(TransferId id) {
     auto it = transfers_.find(id);
     if (it == transfers_.end()) {
--- a/tests/integration/answers_test.cc
+++ b/tests/integration/answers_test.cc
@@ -83,7 +83,10 @@
 }
 
 TEST(AnswersTest, KilledEntryStreamsAreResumedElsewhere) {
-  Cluster cluster;
+  ClusterOptions options;
+  // The engines drop nothing by themselves: orphans have to be cancelled.
+  options.engine_flags = "--detach-life-ms 600000";
+  Cluster cluster(options);
   Json report =
       cluster.RunLoad("--seconds 4 --rate 15 --output-tokens 60 --seed 4", [&] {
         std::this_thread::sleep_for(Millis(2000));
--- a/tests/integration/cluster.cc
+++ b/tests/integration/cluster.cc
@@ -442,16 +442,20 @@
   if (!urls.empty()) {
     command.insert(command.end(), {"--service-urls", urls});
   }
-  std::string log = directory_ + "/load.json";
+  std::string log = directory_ + "/load.log";
   std::filesystem::remove(log);
   Process load(Concat(command, SplitWords(flags)), log);
   if (meanwhile) {
     meanwhile();
   }
-  load.Wait(Millis(90'000));
+  int code = load.Wait(Millis(90'000));
   std::ifstream report(log);
   Json json = Json::parse(report, nullptr, false);
-  return json.is_object() ? json : Json::object();
+  if (!json.is_object()) {
+    throw std::runtime_error("the load driver ended with " +
+                             std::to_string(code) + ": " + LogOf("load"));
+  }
+  return json;
 }
 
 double Cluster::EngineSum(const std::string& name) {
--- /dev/null
+++ b/tests/unit/plan_delta_test.cc
@@ -0,0 +1,31 @@
+// Deltas between plans.
+
+#include "mangoyoke/plan_delta.h"
+
+#include <gtest/gtest.h>
+
+namespace mangoyoke {
+namespace {
+
+PlanSections Sections(const std::string& extra) {
+  std::string text = "[plan]\nname = p\n[model m]\n" + extra;
+  return SplitSections(PrintPlan(std::get<Plan>(ParsePlan(text, "p", 1))));
+}
+
+TEST(PlanDeltaTest, AppliedDeltaGivesTheOtherPlan) {
+  PlanSections from = Sections("[account a]\n[account b]\nweight = 2\n");
+  PlanSections to = Sections("[account b]\nweight = 3\n[account c]\n");
+  PlanDelta delta = MakeDelta(from, to, 2);
+  EXPECT_EQ(delta.removed, std::vector<std::string>{"account a"});
+  EXPECT_EQ(delta.changed.size(), 2U);
+  EXPECT_EQ(ApplyDelta(from, delta), to);
+}
+
+TEST(PlanDeltaTest, JoinedSectionsParseToTheSamePlan) {
+  PlanSections sections = Sections("[account a]\n");
+  auto plan = std::get<Plan>(ParsePlan(JoinSections(sections), "p", 1));
+  EXPECT_EQ(SplitSections(PrintPlan(plan)), sections);
+}
+
+}  // namespace
+}  // namespace mangoyoke
