--- a/benchmark/plan_scale.cc
+++ b/benchmark/plan_scale.cc
@@ -49,8 +49,9 @@
   TimePoint begin = SteadyClock::now();
   size_t cells = 0;
   for (int i = 0; i < kRounds; ++i) {
-    auto parsed = ParsePlan(JoinSections(ApplyDelta(sections, delta)), "p", 2);
-    cells = BuildCells(std::get<Plan>(parsed)).size();
+    auto updated = ApplyDelta(plan, delta);
+    ApplyDelta(sections, delta);
+    cells = BuildCells(std::get<Plan>(updated)).size();
   }
   double millis = ToMillis(SteadyClock::now() - begin) / kRounds;
   std::printf("%8d %9zu %10.2f %10zu %12.1f %10.1f\n", servers, cells,
--- a/include/mangoyoke/plan.h
+++ b/include/mangoyoke/plan.h
@@ -109,6 +109,14 @@
                        const std::string& file,
                        Revision revision);
 
+// `plan` with the sections of `changed` (INI text) put in and the sections
+// with the headers `removed` taken out. Costs little for few sections.
+Result<Plan> UpdatePlan(Plan plan,
+                        const std::string& changed,
+                        const std::vector<std::string>& removed,
+                        const std::string& file,
+                        Revision revision);
+
 // The plan as INI text. ParsePlan of it gives an equal plan.
 std::string PrintPlan(const Plan& plan);
 
--- a/include/mangoyoke/plan_delta.h
+++ b/include/mangoyoke/plan_delta.h
@@ -32,7 +32,9 @@
 PlanDelta MakeDelta(const PlanSections& from,
                     const PlanSections& to,
                     Revision revision);
-PlanSections ApplyDelta(PlanSections sections, const PlanDelta& delta);
+void ApplyDelta(PlanSections& sections, const PlanDelta& delta);
+// The plan that `delta` makes of `plan`, checked.
+Result<Plan> ApplyDelta(const Plan& plan, const PlanDelta& delta);
 
 }  // namespace mangoyoke
 
--- a/src/coordination/plan.cc
+++ b/src/coordination/plan.cc
@@ -16,10 +16,29 @@
 
 class PlanParser {
  public:
-  PlanParser(std::string file, Revision revision) : file_(std::move(file)) {
+  PlanParser(std::string file, Revision revision, Plan plan)
+      : file_(std::move(file)), plan_(std::move(plan)) {
     plan_.revision = revision;
   }
 
+  void Remove(const std::string& header) {
+    size_t space = header.find(' ');
+    std::string kind = header.substr(0, space);
+    std::string name =
+        space == std::string::npos ? "" : header.substr(space + 1);
+    if (kind == "model") {
+      plan_.models.erase(name);
+    } else if (kind == "backend") {
+      plan_.backends.erase(name);
+    } else if (kind == "service") {
+      plan_.services.erase(name);
+    } else if (kind == "route") {
+      plan_.routes.erase(name);
+    } else if (kind == "account") {
+      plan_.accounts.erase(name);
+    }
+  }
+
   Result<Plan> Parse(const IniDocument& document) {
     for (const IniSection& section : document.sections) {
       ReadSection(section);
@@ -226,7 +245,24 @@
   if (const auto* error = std::get_if<Error>(&document)) {
     return *error;
   }
-  return PlanParser(file, revision).Parse(std::get<IniDocument>(document));
+  return PlanParser(file, revision, Plan{})
+      .Parse(std::get<IniDocument>(document));
+}
+
+Result<Plan> UpdatePlan(Plan plan,
+                        const std::string& changed,
+                        const std::vector<std::string>& removed,
+                        const std::string& file,
+                        Revision revision) {
+  auto document = ParseIni(changed, file, ErrorCode::kPlanInvalid);
+  if (const auto* error = std::get_if<Error>(&document)) {
+    return *error;
+  }
+  PlanParser parser(file, revision, std::move(plan));
+  for (const std::string& header : removed) {
+    parser.Remove(header);
+  }
+  return parser.Parse(std::get<IniDocument>(document));
 }
 
 std::string PrintPlan(const Plan& plan) {
--- a/src/coordination/plan_delta.cc
+++ b/src/coordination/plan_delta.cc
@@ -47,14 +47,19 @@
   return delta;
 }
 
-PlanSections ApplyDelta(PlanSections sections, const PlanDelta& delta) {
+void ApplyDelta(PlanSections& sections, const PlanDelta& delta) {
   for (const std::string& header : delta.removed) {
     sections.erase(header);
   }
   for (const auto& [header, body] : delta.changed) {
     sections[header] = body;
   }
-  return sections;
+}
+
+Result<Plan> ApplyDelta(const Plan& plan, const PlanDelta& delta) {
+  return UpdatePlan(plan, JoinSections(delta.changed), delta.removed,
+                    "revision " + std::to_string(delta.revision),
+                    delta.revision);
 }
 
 }  // namespace mangoyoke
--- a/src/daemon/control/control_plane.cc
+++ b/src/daemon/control/control_plane.cc
@@ -119,7 +119,7 @@
 void ControlPlane::OnTopologyChange() {
   suspended_ = members_->suspended();
   if (auto plan = plans_->Current()) {
-    allocators_->UpdateCells(*plan);
+    allocators_->UpdateCells(plan);
   }
   placement_->OnTopologyChange();
 }
--- a/src/daemon/control/plan/plan_service.cc
+++ b/src/daemon/control/plan/plan_service.cc
@@ -82,57 +82,69 @@
   if (TakeDelta(row.delta, source)) {
     return true;
   }
-  return row.text &&
-         Adopt(SplitSections(*row.text), row.delta.revision, source);
+  return row.text && TakeText(*row.text, row.delta.revision, source);
 }
 
 bool PlanService::TakeDelta(const PlanDelta& delta, const char* source) {
   if (delta.revision != revision_ + 1) {
     return false;
   }
-  if (!Adopt(ApplyDelta(sections_, delta), delta.revision, source)) {
+  auto current = Current();
+  if (!Adopt(ApplyDelta(current ? *current : Plan{}, delta), source)) {
     return false;
   }
+  ApplyDelta(sections_, delta);
   history_.push_back(delta);
   if (history_.size() > kMaxHistory) {
     history_.pop_front();
   }
+  Announce();
   return true;
 }
 
-bool PlanService::Adopt(PlanSections sections,
-                        Revision revision,
-                        const char* source) {
+bool PlanService::TakeText(const std::string& text,
+                           Revision revision,
+                           const char* source) {
   if (revision <= revision_) {
     return false;  // An old read, or news already known.
   }
-  auto parsed = ParsePlan(JoinSections(sections),
-                          "revision " + std::to_string(revision), revision);
+  auto parsed =
+      ParsePlan(text, "revision " + std::to_string(revision), revision);
+  if (!Adopt(std::move(parsed), source)) {
+    return false;
+  }
+  sections_ = SplitSections(text);
+  history_.clear();  // There would be a gap.
+  Announce();
+  return true;
+}
+
+bool PlanService::Adopt(Result<Plan> parsed, const char* source) {
   if (const auto* error = std::get_if<Error>(&parsed)) {
-    LogEvent("plan_rejected", LogLevel::kError)
-        .Field("revision", static_cast<int64_t>(revision))
-        .Field("why", error->detail);
+    LogEvent("plan_rejected", LogLevel::kError).Field("why", error->detail);
     return false;
   }
   auto plan = std::make_shared<const Plan>(std::move(std::get<Plan>(parsed)));
+  if (plan->revision <= revision_) {
+    return false;
+  }
+  revision_ = plan->revision;
   {
     std::lock_guard lock(mutex_);
-    current_ = plan;
-  }
-  if (revision != revision_ + 1) {
-    history_.clear();  // There would be a gap.
+    current_ = std::move(plan);
   }
-  sections_ = std::move(sections);
-  revision_ = revision;
-  context_.metrics.Set("mangoyoke_plan_revision",
-                       static_cast<double>(revision));
   LogEvent("plan_in_force")
-      .Field("revision", static_cast<int64_t>(revision))
+      .Field("revision", static_cast<int64_t>(revision_))
       .Field("source", source);
-  on_plan.Notify(*plan);
   return true;
 }
 
+void PlanService::Announce() {
+  context_.metrics.Set("mangoyoke_plan_revision",
+                       static_cast<double>(revision_));
+  on_plan.Notify(*Current());
+}
+
 void PlanService::Submit(const PlanSubmission& submission,
                          const SubmitCallback& callback) {
   auto parsed = ParsePlan(submission.text, "plan", submission.base + 1);
@@ -252,8 +264,8 @@
         }
         const Json& answer = std::get<Json>(result);
         if (answer.contains("t")) {
-          Adopt(SplitSections(answer["t"].get<std::string>()),
-                answer.at("r").get<Revision>(), "peer");
+          TakeText(answer["t"].get<std::string>(),
+                   answer.at("r").get<Revision>(), "peer");
         }
         for (const Json& delta : answer.value("d", Json::array())) {
           TakeDelta(DecodeDelta(delta), "peer");
--- a/src/daemon/control/plan/plan_service.h
+++ b/src/daemon/control/plan/plan_service.h
@@ -59,8 +59,10 @@
   void CatchUp(Revision last);
   bool TakeRow(const PlanRow& row, const char* source);
   bool TakeDelta(const PlanDelta& delta, const char* source);
-  // Takes a plan into force if it is newer than the current one.
-  bool Adopt(PlanSections sections, Revision revision, const char* source);
+  bool TakeText(const std::string& text, Revision revision, const char* source);
+  // Takes a valid plan into force if it is newer than the current one.
+  bool Adopt(Result<Plan> parsed, const char* source);
+  void Announce();
   void WriteRow(const PlanSubmission& submission,
                 const PlanRow& row,
                 const SubmitCallback& callback);
--- a/src/daemon/control/slots/allocator_service.cc
+++ b/src/daemon/control/slots/allocator_service.cc
@@ -26,9 +26,11 @@
                                                 [this] { PumpAll(); });
 }
 
-void AllocatorService::UpdateCells(const Plan& plan) {
-  plan_ = plan;
-  cells_ = BuildCells(plan);
+void AllocatorService::UpdateCells(std::shared_ptr<const Plan> plan) {
+  if (plan != plan_) {
+    plan_ = std::move(plan);
+    cells_ = BuildCells(*plan_);
+  }
   TimePoint now = SteadyClock::now();
   std::vector<MemberRecord> members = context_.membership.All();
   const InstanceId& self = context_.membership.self().id;
@@ -38,7 +40,7 @@
     auto owned = owned_.find(id);
     bool borrowed = owned != owned_.end() && owned->second.borrowed_until > now;
     if ((!order.empty() && order.front() == self) || borrowed) {
-      TakeOver(cell, plan);
+      TakeOver(cell);
       keep.insert(id);
     }
   }
@@ -53,8 +55,7 @@
   }
 }
 
-AllocatorService::CellState& AllocatorService::TakeOver(const Cell& cell,
-                                                        const Plan& plan) {
+AllocatorService::CellState& AllocatorService::TakeOver(const Cell& cell) {
   TimePoint now = SteadyClock::now();
   CellState& state = owned_[cell.id];
   if (!state.allocator) {
@@ -72,8 +73,8 @@
   state.cell = cell;
   for (const BackendId& id : cell.backends) {
     bool known = state.allocator->Has(id);
-    state.allocator->SetBackend(plan.backends.at(id),
-                                plan.models.at(cell.model), now);
+    state.allocator->SetBackend(plan_->backends.at(id),
+                                plan_->models.at(cell.model), now);
     cell_of_[id] = cell.id;
     if (!known) {
       on_taken_over.Notify(id);
@@ -105,7 +106,7 @@
                                ReplyCallback callback) {
   CellState* state = Find(cell);
   if (state == nullptr && takeover && cells_.contains(cell)) {
-    state = &TakeOver(cells_.at(cell), plan_);
+    state = &TakeOver(cells_.at(cell));
     state->borrowed_until = SteadyClock::now() + kBorrowTime;
   }
   if (state == nullptr) {
@@ -181,7 +182,7 @@
   const CellState& state = owned_.at(cell->second);
   TimePoint now = SteadyClock::now();
   for (const BackendId& other : state.cell.backends) {
-    if (plan_.backends.at(other).role == BackendRole::kPrefill &&
+    if (plan_->backends.at(other).role == BackendRole::kPrefill &&
         state.allocator->HealthOf(other, now) ==
             StragglerDetector::Health::kNormal) {
       return other;
--- a/src/daemon/control/slots/allocator_service.h
+++ b/src/daemon/control/slots/allocator_service.h
@@ -42,7 +42,7 @@
 
   void Start();
   // Takes cells over and gives them up after a change of plan or members.
-  void UpdateCells(const Plan& plan);
+  void UpdateCells(std::shared_ptr<const Plan> plan);
 
   // An entry asks for slots of `cell`. `takeover`: the entry could not reach
   // the cell's first allocator. The callback comes when it is decided.
@@ -86,13 +86,13 @@
   };
 
   CellState* Find(const CellId& id);
-  CellState& TakeOver(const Cell& cell, const Plan& plan);
+  CellState& TakeOver(const Cell& cell);
   void GiveUp(const CellId& id);
   void Pump(CellState& state);
   void PumpAll();
 
   ControlContext context_;
-  Plan plan_;
+  std::shared_ptr<const Plan> plan_;     // Null until the first update.
   std::map<CellId, Cell> cells_;         // All of the plan.
   std::map<CellId, CellState> owned_;    // Allocated here.
   std::map<BackendId, CellId> cell_of_;  // Of engines in owned cells.
--- a/src/daemon/control/slots/reserving_placement.cc
+++ b/src/daemon/control/slots/reserving_placement.cc
@@ -228,8 +228,9 @@
 }
 
 void ReservingPlacement::OnTopologyChange() {
-  if (auto plan = plans_.Current()) {
-    cells_ = BuildCells(*plan);
+  if (auto plan = plans_.Current(); plan && plan != plan_) {
+    plan_ = plan;
+    cells_ = BuildCells(*plan_);
   }
   std::vector<RequestId> ids;
   for (const auto& [id, open] : open_) {
--- a/src/daemon/control/slots/reserving_placement.h
+++ b/src/daemon/control/slots/reserving_placement.h
@@ -61,6 +61,7 @@
   ControlContext context_;
   PlanService& plans_;
   AllocatorService& allocators_;
+  std::shared_ptr<const Plan> plan_;  // Of cells_.
   std::map<CellId, Cell> cells_;
   std::map<CellId, SlotAllocator::Summary> summaries_;
   std::map<RequestId, Open> open_;
--- a/tests/unit/plan_delta_test.cc
+++ b/tests/unit/plan_delta_test.cc
@@ -18,7 +18,20 @@
   PlanDelta delta = MakeDelta(from, to, 2);
   EXPECT_EQ(delta.removed, std::vector<std::string>{"account a"});
   EXPECT_EQ(delta.changed.size(), 2U);
-  EXPECT_EQ(ApplyDelta(from, delta), to);
+  auto plan = std::get<Plan>(ParsePlan(JoinSections(from), "p", 1));
+  auto expected = std::get<Plan>(ParsePlan(JoinSections(to), "p", 2));
+  EXPECT_EQ(std::get<Plan>(ApplyDelta(plan, delta)), expected);
+  ApplyDelta(from, delta);
+  EXPECT_EQ(from, to);
+}
+
+TEST(PlanDeltaTest, DeltaThatBreaksAReferenceIsAnError) {
+  auto plan = std::get<Plan>(ParsePlan(
+      "[plan]\nname = p\n[service s]\n[route r]\nservice = s\npath = /\n", "p",
+      1));
+  PlanDelta delta{2, {}, {"service s"}};
+  EXPECT_EQ(std::get<Error>(ApplyDelta(plan, delta)).code,
+            ErrorCode::kPlanInvalid);
 }
 
 TEST(PlanDeltaTest, JoinedSectionsParseToTheSamePlan) {
