Bound the cost of joining; measure what an entry adds

Cause 1: memory grew 36 KB for each further instance; each contacted all known addresses at start, and the heap kept the peak of connections. Ruled out by measurement: connections left open (closing idle ones alone changed nothing). Now four are contacted, gossip brings the rest, idle connections are closed. Cause 2: events were built as JSON objects for each token; now only the token. A borrowed cell is given back when its first allocator returns.

--- a/benchmark/scale.cc
+++ b/benchmark/scale.cc
@@ -11,6 +11,7 @@
 namespace mangoyoke::testing {
 namespace {
 
+constexpr Millis kSettle{11'000};  // Until connections of joining are closed.
 constexpr Millis kWindow{6000};
 
 struct Sample {
@@ -41,7 +42,7 @@
       "[log]\nlevel = warning\n[limits]\n"
       "traffic_threads = 1\n";
   Cluster cluster(options);
-  std::this_thread::sleep_for(Millis(3000));
+  std::this_thread::sleep_for(kSettle);
   auto begin = SteadyClock::now();
   Sample before = Measure(cluster, entries);
   std::this_thread::sleep_for(kWindow);
@@ -67,8 +68,10 @@
 int Main(int argc, char** argv) {
   cxxopts::Options parser("scale", "Control cost by number of instances");
   int most = 96;
+  int least = 3;
   parser.add_options()("most", "largest number of instances",
-                       cxxopts::value(most));
+                       cxxopts::value(most))(
+      "least", "smallest number of instances", cxxopts::value(least));
   parser.parse(argc, argv);
   std::printf("%9s %6s %8s %9s %10s %8s %10s %13s\n", "instances", "zones",
               "engines", "cpu_pct", "kB_per_s", "rss_MB", "spread_ms",
@@ -81,7 +84,7 @@
   for (const Size& size :
        {Size{3, 3, 0}, Size{9, 3, 0}, Size{9, 3, 12}, Size{24, 3, 0},
         Size{48, 6, 0}, Size{96, 6, 0}, Size{96, 12, 0}}) {
-    if (size.entries <= most) {
+    if (size.entries >= least && size.entries <= most) {
       RunSize(size.entries, size.zones, size.engines);
     }
   }
--- a/src/daemon/control/membership/membership_service.cc
+++ b/src/daemon/control/membership/membership_service.cc
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "daemon/control/membership/member_codec.h"
+#include "mangoyoke/rendezvous.h"
 
 namespace mangoyoke {
 namespace {
@@ -13,6 +14,7 @@
 constexpr Duration kRejoinInterval = Millis(500);
 constexpr Duration kListInterval = Seconds(5);
 constexpr size_t kMaxRecordsPerMessage = 64;
+constexpr size_t kFirstContacts = 4;
 constexpr Millis kListTimeout{2000};
 
 }  // namespace
@@ -31,7 +33,12 @@
                                                   [this] { RejoinOne(); });
   list_timer_ = std::make_unique<PeriodicTimer>(context_.io, kListInterval,
                                                 [this] { ReadPlatformList(); });
-  for (const std::string& address : known_addresses_) {
+  // A few suffice: they know the others. RejoinOne asks for who is missing.
+  std::vector<std::string> order =
+      RendezvousOrder(context_.membership.self().id,
+                      {known_addresses_.begin(), known_addresses_.end()});
+  order.resize(std::min(order.size(), kFirstContacts));
+  for (const std::string& address : order) {
     Contact(address);
   }
   ReadPlatformList();
--- a/src/daemon/control/slots/allocator_service.cc
+++ b/src/daemon/control/slots/allocator_service.cc
@@ -10,12 +10,6 @@
 constexpr Duration kPumpInterval = Millis(10);
 constexpr Duration kBorrowTime = Seconds(5);
 
-SlotAllocatorOptions AllocatorOptions() {
-  SlotAllocatorOptions options;
-  options.max_ahead_share = 0;
-  return options;
-}
-
 }  // namespace
 
 AllocatorService::AllocatorService(ControlContext context)
@@ -59,7 +53,7 @@
   TimePoint now = SteadyClock::now();
   CellState& state = owned_[cell.id];
   if (!state.allocator) {
-    state.allocator = std::make_unique<SlotAllocator>(AllocatorOptions());
+    state.allocator = std::make_unique<SlotAllocator>(SlotAllocatorOptions{});
     LogEvent("cell_taken_over").Field("cell", cell.id);
     context_.metrics.Count("mangoyoke_cell_takeovers_total");
   }
@@ -285,7 +279,22 @@
   }
 }
 
+void AllocatorService::ReturnBorrowed() {
+  TimePoint now = SteadyClock::now();
+  bool ended = false;
+  for (auto& [id, state] : owned_) {
+    if (state.borrowed_until != TimePoint{} && state.borrowed_until <= now) {
+      state.borrowed_until = TimePoint{};
+      ended = true;
+    }
+  }
+  if (ended) {
+    UpdateCells(plan_);
+  }
+}
+
 void AllocatorService::PumpAll() {
+  ReturnBorrowed();
   for (auto& [id, state] : owned_) {
     Pump(state);
   }
--- a/src/daemon/control/slots/allocator_service.h
+++ b/src/daemon/control/slots/allocator_service.h
@@ -82,7 +82,8 @@
     Cell cell;
     std::unique_ptr<SlotAllocator> allocator;
     std::map<RequestId, ReplyCallback> waiting;
-    TimePoint borrowed_until;  // Allocated for another who is unreachable.
+    // Allocated until then for another who is unreachable; zero if not.
+    TimePoint borrowed_until{};
   };
 
   CellState* Find(const CellId& id);
@@ -90,6 +91,9 @@
   void GiveUp(const CellId& id);
   void Pump(CellState& state);
   void PumpAll();
+  // Gives borrowed cells up whose time is over and whose first allocator is
+  // back.
+  void ReturnBorrowed();
 
   ControlContext context_;
   std::shared_ptr<const Plan> plan_;     // Null until the first update.
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -55,7 +55,6 @@
     }
     std::vector<DispatchTarget> targets;
     for (size_t i = 0; i < workers_.size(); ++i) {
-      workers_[i]->Start();
       targets.push_back(DispatchTarget{worker_loops_[i], workers_[i].get()});
     }
     HttpDispatcher caller_dispatcher(targets);
--- a/src/daemon/traffic/answer_writer.cc
+++ b/src/daemon/traffic/answer_writer.cc
@@ -21,6 +21,12 @@
 
 void AnswerWriter::StartEvents() {
   if (!stream_->started()) {
+    // All events of an answer differ only in the token.
+    constexpr std::string_view kSample = "\"@\"";
+    std::string sample = Chunk("@", nullptr);
+    size_t at = sample.find(kSample);
+    before_token_ = "\ndata: " + sample.substr(0, at);
+    after_token_ = sample.substr(at + kSample.size()) + "\n\n";
     stream_->StartChunks(kOk, "text/event-stream",
                          {{"X-Request-Id", format_.id}});
   }
@@ -54,9 +60,9 @@
   StartEvents();
   std::string event = "id: ";
   event.append(event_id)
-      .append("\ndata: ")
-      .append(Chunk(token, nullptr))
-      .append("\n\n");
+      .append(before_token_)
+      .append(Json(token).dump())
+      .append(after_token_);
   stream_->WriteChunk(event);
 }
 
--- a/src/daemon/traffic/answer_writer.h
+++ b/src/daemon/traffic/answer_writer.h
@@ -46,6 +46,8 @@
 
   AnswerFormat format_;
   std::shared_ptr<ResponseStream> stream_;
+  std::string before_token_;  // Parts of each event, set with the first.
+  std::string after_token_;
   std::string text_;  // Of an answer that is not streamed.
 };
 
--- a/src/daemon/traffic/traffic_worker.cc
+++ b/src/daemon/traffic/traffic_worker.cc
@@ -49,18 +49,20 @@
       services_(context_),
       timer_(io) {}
 
-void TrafficWorker::Start() {
-  Arm();
-}
-
 void TrafficWorker::Arm() {
+  if (std::exchange(armed_, true)) {
+    return;
+  }
   timer_.expires_after(kTickInterval);
   timer_.async_wait([this](const boost::system::error_code& error) {
+    armed_ = false;
     if (error) {
       return;
     }
-    Arm();
     Tick();
+    if (!completions_.empty()) {
+      Arm();
+    }
   });
 }
 
@@ -129,6 +131,7 @@
                                                  std::move(parameters), stream);
   completions_[id] = OpenCompletion{completion, account, request.connection_id};
   CountOpen();
+  Arm();
   completion->Start();
 }
 
--- a/src/daemon/traffic/traffic_worker.h
+++ b/src/daemon/traffic/traffic_worker.h
@@ -26,9 +26,6 @@
                 ControlGateway& gateway,
                 AccountCounter& accounts);
 
-  // Starts the periodic checks.
-  void Start();
-
   void Handle(ServerRequest request,
               std::shared_ptr<ResponseStream> stream) override;
   void CallerGone(uint64_t connection_id) override;
@@ -55,6 +52,7 @@
   void AnswerService(const std::shared_ptr<ResponseStream>& stream,
                      const Outcome& outcome);
   void Tick();
+  // Starts the periodic checks, which run while completions are open.
   void Arm();
   void CountOpen();
 
@@ -64,6 +62,7 @@
   TrafficContext context_;
   ServiceRunner services_;
   boost::asio::steady_timer timer_;
+  bool armed_ = false;  // The timer is running.
   uint64_t last_id_ = 0;
   std::map<std::string, OpenCompletion> completions_;
   size_t open_calls_ = 0;
--- a/src/peer/peer_transport.cc
+++ b/src/peer/peer_transport.cc
@@ -23,6 +23,8 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusError = 500;
 constexpr int kTimeoutsBeforeReconnect = 3;
+constexpr Duration kIdleLimit = Seconds(8);
+constexpr Duration kSweepInterval = Seconds(2);
 
 std::string Encode(const Json& message) {
   std::string bytes;
@@ -195,13 +197,14 @@
 
 class PeerClient::Impl : public std::enable_shared_from_this<Impl> {
  public:
-  explicit Impl(asio::io_context& io) : io_(io) {}
+  explicit Impl(asio::io_context& io) : io_(io), sweep_timer_(io) {}
 
   void Call(const std::string& address,
             const std::string& path,
             const Json& message,
             Millis timeout,
             Callback callback) {
+    ArmSweep();
     uint64_t id = ++last_call_;
     auto call = std::make_shared<PendingCall>(io_);
     call->address = address;
@@ -230,6 +233,7 @@
   }
 
   void Stop() {
+    sweep_timer_.cancel();
     for (auto& [id, call] : calls_) {
       call->timer.cancel();
     }
@@ -260,8 +264,43 @@
     std::list<uint64_t> waiting;
     std::map<int32_t, uint64_t> by_stream;
     int timeouts = 0;  // In a row, without an answer between.
+    TimePoint last_used;
   };
 
+  // Closes connections that nothing uses: most members are contacted once,
+  // and each connection costs memory on both sides.
+  void ArmSweep() {
+    if (std::exchange(sweeping_, true)) {
+      return;
+    }
+    sweep_timer_.expires_after(kSweepInterval);
+    sweep_timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          self->sweeping_ = false;
+          if (!error) {
+            self->Sweep();
+          }
+        });
+  }
+
+  void Sweep() {
+    TimePoint now = SteadyClock::now();
+    for (auto it = links_.begin(); it != links_.end();) {
+      Link& link = it->second;
+      bool idle = link.by_stream.empty() && link.waiting.empty() &&
+                  !link.connecting && now - link.last_used > kIdleLimit;
+      if (idle && link.connection) {
+        link.connection->Close();
+        closed_bytes_ +=
+            link.connection->bytes_in() + link.connection->bytes_out();
+      }
+      it = idle ? links_.erase(it) : std::next(it);
+    }
+    if (!links_.empty()) {
+      ArmSweep();
+    }
+  }
+
   // Drops a connection that answers nothing. After a partition a new one
   // works at once, while the old one waits for TCP's growing retransmission
   // interval.
@@ -280,6 +319,7 @@
 
   void Dispatch(uint64_t id, PendingCall& call) {
     Link& link = links_[call.address];
+    link.last_used = SteadyClock::now();
     if (link.connection) {
       SendOn(link, id, call);
       return;
@@ -424,6 +464,8 @@
   }
 
   asio::io_context& io_;
+  asio::steady_timer sweep_timer_;
+  bool sweeping_ = false;
   uint64_t last_call_ = 0;
   uint64_t closed_bytes_ = 0;  // Of connections that ended.
   std::map<uint64_t, std::shared_ptr<PendingCall>> calls_;
--- a/tests/integration/answers_test.cc
+++ b/tests/integration/answers_test.cc
@@ -1,8 +1,11 @@
 // Answers are whole, once and the caller's own, whatever engines and entries
 // do; and nothing stays held in engines afterwards.
 
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <thread>
 
@@ -98,6 +101,53 @@
       Eventually([&] { return cluster.EnginesEmpty(); }, Millis(15'000)));
 }
 
+// Entries that cannot reach the allocator ask the next one at once, before
+// anybody has noticed the death.
+TEST(AnswersTest, AllocatorDiesAndTheNextTakesOver) {
+  Cluster cluster;
+  int allocator = -1;
+  for (int i = 0; i < 3; ++i) {
+    if (!cluster.Status(i)["cells"].empty()) {
+      allocator = i;
+    }
+  }
+  ASSERT_GE(allocator, 0);
+  cluster.KillEntry(allocator);
+  for (int i = 0; i < 3; ++i) {
+    if (i != allocator) {
+      EXPECT_EQ(cluster.Complete(i, "next, please", 5).status, 200);
+    }
+  }
+  EXPECT_TRUE(Eventually([&] { return cluster.EnginesEmpty(); }));
+}
+
+TEST(AnswersTest, SlowCallerIsHeldBackAndStallsNobody) {
+  ClusterOptions options;
+  options.entries = 1;
+  options.engine_flags = "--gap-ms 0.2";
+  options.entry_settings = "[limits]\nmax_buffered_bytes = 65536\n";
+  Cluster cluster(options);
+  std::string address = cluster.EntryAddress(0);
+  int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(
+      static_cast<uint16_t>(std::stoi(address.substr(address.rfind(':') + 1))));
+  to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  ASSERT_EQ(::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
+  std::string body = R"({"model":"assistant","prompt":"endless","stream":true,)"
+                     R"("max_tokens":90000})";
+  std::string request = "POST /v1/completions HTTP/1.1\r\nContent-Length: " +
+                        std::to_string(body.size()) + "\r\n\r\n" + body;
+  ASSERT_GT(::send(fd, request.data(), request.size(), MSG_NOSIGNAL), 0);
+  EXPECT_TRUE(Eventually(
+      [&] { return cluster.Counter(0, "mangoyoke_slow_callers_total") >= 1; },
+      Millis(30'000)));
+  EXPECT_EQ(cluster.Complete(0, "another caller", 50).status, 200);
+  ::close(fd);
+  EXPECT_TRUE(Eventually([&] { return cluster.EnginesEmpty(); }));
+}
+
 TEST(AnswersTest, PausedEntryFindsOutBeforeItActs) {
   Cluster cluster;
   Json report = cluster.RunLoad(
