--- a/src/tool/admin_client.cc
+++ b/src/tool/admin_client.cc
@@ -2,9 +2,7 @@
 
 #include "tool/admin_client.h"
 
-#include <boost/asio/io_context.hpp>
-
-#include "http/http_client.h"
+#include "http/blocking_call.h"
 
 namespace mangoyoke {
 namespace {
@@ -13,18 +11,6 @@
 
 constexpr Millis kTimeout{8000};
 
-ClientResponse Exchange(ClientRequest request) {
-  boost::asio::io_context io(1);
-  HttpClient client(io);
-  ClientResponse result;
-  client.Start(std::move(request), [&](ClientResponse response) {
-    result = std::move(response);
-    io.stop();
-  });
-  io.run();
-  return result;
-}
-
 Error ErrorOf(const ClientResponse& response) {
   Json body = Json::parse(response.body, nullptr, false);
   if (body.is_object() && body.contains("error") && body["error"].is_object()) {
@@ -47,7 +33,7 @@
     ClientRequest request;
     request.url = "http://" + address + path;
     request.timeout = kTimeout;
-    ClientResponse response = Exchange(std::move(request));
+    ClientResponse response = CallAndWait(std::move(request));
     if (response.Succeeded()) {
       return response.body;
     }
@@ -68,7 +54,7 @@
     request.body = body.dump();
     request.timeout = kTimeout;
     request.fresh_connection = true;
-    ClientResponse response = Exchange(std::move(request));
+    ClientResponse response = CallAndWait(std::move(request));
     if (response.Succeeded()) {
       return Json::parse(response.body, nullptr, false);
     }
--- a/tests/integration/answers_test.cc
+++ b/tests/integration/answers_test.cc
@@ -45,6 +45,30 @@
   EXPECT_TRUE(Eventually([&] { return cluster.EnginesEmpty(); }));
 }
 
+TEST(AnswersTest, ChatHasItsOwnShape) {
+  Cluster cluster;
+  std::string url =
+      "http://" + cluster.EntryAddress(0) + "/v1/chat/completions";
+  Json request{{"model", "assistant"},
+               {"messages",
+                Json::array({{{"role", "user"}, {"content", "is it fit?"}}})},
+               {"max_tokens", 4}};
+  std::string expected = standin::AnswerText("user: is it fit?\n", 4);
+  Json whole = Json::parse(Call("POST", url, request.dump()).body);
+  EXPECT_EQ(whole["choices"][0]["message"]["content"], expected);
+  request["stream"] = true;
+  std::string events = Call("POST", url, request.dump()).body;
+  std::string text;
+  for (size_t at = 0; (at = events.find("data: {", at)) != std::string::npos;) {
+    Json chunk =
+        Json::parse(events.substr(at + 6, events.find('\n', at) - at - 6));
+    text += chunk["choices"][0]["delta"].value("content", "");
+    ++at;
+  }
+  EXPECT_EQ(text, expected);
+  EXPECT_NE(events.find("data: [DONE]"), std::string::npos);
+}
+
 TEST(AnswersTest, DecodeServerDiesInMidStream) {
   Cluster cluster;
   ClientResponse response;
--- a/tests/integration/bookings_test.cc
+++ b/tests/integration/bookings_test.cc
@@ -17,13 +17,6 @@
              : "answered";
 }
 
-std::string ReasonOf(const ClientResponse& response) {
-  Json body = Json::parse(response.body, nullptr, false);
-  return body.is_object() && body.contains("error")
-             ? body["error"].value("reason", "")
-             : "";
-}
-
 TEST(BookingsTest, ConcurrentAndLateRetriesGetTheOneResult) {
   Cluster cluster;
   cluster.Behave(cluster.ServiceUrl(0), {{"latency_ms", 300}});
--- a/tests/integration/cluster.cc
+++ b/tests/integration/cluster.cc
@@ -10,13 +10,14 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <boost/asio/io_context.hpp>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
 
+#include "http/blocking_call.h"
+
 namespace mangoyoke::testing {
 namespace {
 
@@ -122,21 +123,13 @@
                     const std::string& body,
                     const HttpHeaders& headers,
                     Millis timeout) {
-  boost::asio::io_context io(1);
-  HttpClient client(io);
   ClientRequest request;
   request.method = method;
   request.url = url;
   request.body = body;
   request.headers = headers;
   request.timeout = timeout;
-  ClientResponse result;
-  client.Start(std::move(request), [&](ClientResponse response) {
-    result = std::move(response);
-    io.stop();
-  });
-  io.run();
-  return result;
+  return CallAndWait(std::move(request));
 }
 
 Json CallJson(const std::string& method,
@@ -147,6 +140,13 @@
   return json.is_object() ? json : Json::object();
 }
 
+std::string ReasonOf(const ClientResponse& response) {
+  Json body = Json::parse(response.body, nullptr, false);
+  return body.is_object() && body.contains("error")
+             ? body["error"].value("reason", "")
+             : "status " + std::to_string(response.status);
+}
+
 bool Eventually(const std::function<bool()>& condition, Millis limit) {
   TimePoint end = SteadyClock::now() + limit;
   while (!condition()) {
--- a/tests/integration/cluster.h
+++ b/tests/integration/cluster.h
@@ -49,6 +49,9 @@
               const std::string& url,
               const Json& body = Json::object());
 
+// The reason in a refusal, else "status N".
+std::string ReasonOf(const ClientResponse& response);
+
 // Polls until `condition` holds or `limit` passes.
 bool Eventually(const std::function<bool()>& condition,
                 Millis limit = Millis(10'000));
--- a/tests/integration/input_test.cc
+++ b/tests/integration/input_test.cc
@@ -13,13 +13,6 @@
 namespace mangoyoke::testing {
 namespace {
 
-std::string ReasonOf(const ClientResponse& response) {
-  Json body = Json::parse(response.body, nullptr, false);
-  return body.is_object() && body.contains("error")
-             ? body["error"].value("reason", "")
-             : "status " + std::to_string(response.status);
-}
-
 // Sends raw bytes to a port and closes. Returns what came back at once.
 std::string SendRaw(const std::string& address, const std::string& bytes) {
   int port = std::stoi(address.substr(address.rfind(':') + 1));
--- a/tests/integration/plan_test.cc
+++ b/tests/integration/plan_test.cc
@@ -10,13 +10,6 @@
 namespace mangoyoke::testing {
 namespace {
 
-std::string ReasonOf(const ClientResponse& response) {
-  Json body = Json::parse(response.body, nullptr, false);
-  return body.is_object() && body.contains("error")
-             ? body["error"].value("reason", "")
-             : "";
-}
-
 std::string Account(int number) {
   return "[account a" + std::to_string(number) + "]\n";
 }
