Resume streams at engines, and only the caller's own

Cause 1: attempts were named with '#', sent as %23, and the engine side's HTTP library does not decode queries, so every resume failed and the answer was computed again; the demo's counter resume_elsewhere showed it, the tests did not look. Attempt ids are safe in URLs now, and a test asserts that a resume computes nothing again. Cause 2: an event id of somebody else's request gave their answer. Request ids now end with a fingerprint of model and prompt, which a resume must match. Also: instance ids are restricted to letters, digits, - and _.

--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -2,6 +2,8 @@
 
 #include "daemon/settings.h"
 
+#include <algorithm>
+#include <cctype>
 #include <fstream>
 #include <sstream>
 
@@ -105,9 +107,14 @@
         problems_.push_back(file_ + ": " + name + ": expected a value");
       }
     }
-    if (settings_.id.find_first_of(".:/|@ ") != std::string::npos) {
-      problems_.push_back(file_ +
-                          ": [instance] id: expected no . : / | @ or space");
+    // The id becomes part of request ids, tickets and URLs.
+    bool safe = std::all_of(
+        settings_.id.begin(), settings_.id.end(), [](unsigned char c) {
+          return std::isalnum(c) != 0 || c == '-' || c == '_';
+        });
+    if (!safe) {
+      problems_.push_back(
+          file_ + ": [instance] id: expected letters, digits, - and _ only");
     }
   }
 
--- a/src/daemon/traffic/completion.cc
+++ b/src/daemon/traffic/completion.cc
@@ -97,7 +97,7 @@
   stage_started_ = SteadyClock::now();
   ++attempts_;
   resumes_ = 0;
-  attempt_id_ = id_ + "#" + std::to_string(attempts_);
+  attempt_id_ = id_ + "~" + std::to_string(attempts_);
   splitter_ = EventSplitter();
   sequencer_.DropHeld();
   SlotRequest request;
@@ -215,11 +215,9 @@
   splitter_ = EventSplitter();
   sequencer_.DropHeld();
   ClientRequest request;
-  request.url = UrlOf(grant_.decode) + "/v1/resume?request_id=";
-  for (char c : attempt_id_) {
-    request.url += c == '#' ? std::string("%23") : std::string(1, c);
-  }
-  request.url += "&offset=" + std::to_string(sequencer_.next());
+  // All characters of an attempt's id are safe in a URL.
+  request.url = UrlOf(grant_.decode) + "/v1/resume?request_id=" + attempt_id_ +
+                "&offset=" + std::to_string(sequencer_.next());
   ReadStream(std::move(request));
 }
 
--- a/src/daemon/traffic/completion_parameters.cc
+++ b/src/daemon/traffic/completion_parameters.cc
@@ -4,8 +4,10 @@
 
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 #include "mangoyoke/prefix_index.h"
+#include "mangoyoke/rendezvous.h"
 
 namespace mangoyoke {
 namespace {
@@ -70,8 +72,25 @@
                      *index + 1};
 }
 
+// The fingerprint in "<...>-<fingerprint>~<attempt>".
+std::string FingerprintOf(const std::string& request_id) {
+  size_t end = request_id.rfind('~');
+  size_t dash = request_id.rfind('-', end);
+  if (end == std::string::npos || dash == std::string::npos) {
+    return "";
+  }
+  return request_id.substr(dash + 1, end - dash - 1);
+}
+
 }  // namespace
 
+std::string RequestFingerprint(const ModelId& model,
+                               const std::string& prompt) {
+  std::ostringstream text;
+  text << std::hex << StableHash(model + "\n" + prompt);
+  return text.str();
+}
+
 Result<CallerHeaders> ParseCallerHeaders(const ServerRequest& request,
                                          const Plan& plan,
                                          Millis default_deadline) {
@@ -153,6 +172,10 @@
     if (!parameters.resume) {
       return Malformed("Last-Event-ID: not an id of this system");
     }
+    std::string own = RequestFingerprint(parameters.model, parameters.prompt);
+    if (FingerprintOf(parameters.resume->request_id) != own) {
+      return Malformed("Last-Event-ID: of another request");
+    }
   }
   return parameters;
 }
--- a/src/daemon/traffic/completion_parameters.h
+++ b/src/daemon/traffic/completion_parameters.h
@@ -52,6 +52,10 @@
 Result<CompletionParameters> ParseCompletion(const ServerRequest& request,
                                              const Plan& plan);
 
+// Identifies what a caller asked. Request ids end with it, so that a caller
+// can only resume a stream of its own request.
+std::string RequestFingerprint(const ModelId& model, const std::string& prompt);
+
 // "<request id>|<decode server>|<token index>", the id of each event.
 std::string PrintEventId(const std::string& request_id,
                          const BackendId& decode,
--- a/src/daemon/traffic/traffic_worker.cc
+++ b/src/daemon/traffic/traffic_worker.cc
@@ -126,7 +126,8 @@
   }
   const RequestOwner& self = context_.gateway.Self();
   std::string id = self.instance + "-" + std::to_string(self.incarnation) +
-                   "-" + name_ + std::to_string(++last_id_);
+                   "-" + name_ + std::to_string(++last_id_) + "-" +
+                   RequestFingerprint(parameters.model, parameters.prompt);
   auto completion = std::make_shared<Completion>(context_, plan, id,
                                                  std::move(parameters), stream);
   completions_[id] = OpenCompletion{completion, account, request.connection_id};
--- a/tests/integration/answers_test.cc
+++ b/tests/integration/answers_test.cc
@@ -69,6 +69,30 @@
   EXPECT_NE(events.find("data: [DONE]"), std::string::npos);
 }
 
+// An event id of somebody else's request must not give their answer.
+TEST(AnswersTest, OnlyTheOwnRequestIsResumed) {
+  Cluster cluster;
+  std::string url = "http://" + cluster.EntryAddress(0) + "/v1/completions";
+  Json request{{"model", "assistant"},
+               {"prompt", "mine"},
+               {"max_tokens", 6},
+               {"stream", true}};
+  std::string events = Call("POST", url, request.dump()).body;
+  ASSERT_TRUE(events.starts_with("id: "));
+  std::string id = events.substr(4, events.find('\n') - 4);
+  HttpHeaders resume = {{"Last-Event-ID", id}};
+  std::string rest = Call("POST", url, request.dump(), resume).body;
+  EXPECT_NE(rest.find(standin::TokenText(StableHash("mine"), 1)),
+            std::string::npos);
+  // Read on at the engine, not computed again.
+  EXPECT_EQ(cluster.Counter(
+                0, "mangoyoke_retries_total{reason=\"resume_elsewhere\"}"),
+            0);
+  request["prompt"] = "theirs";
+  EXPECT_EQ(ReasonOf(Call("POST", url, request.dump(), resume)),
+            "malformed_request");
+}
+
 TEST(AnswersTest, DecodeServerDiesInMidStream) {
   Cluster cluster;
   ClientResponse response;
--- a/tests/integration/input_test.cc
+++ b/tests/integration/input_test.cc
@@ -131,7 +131,7 @@
       << output;
   EXPECT_NE(output.find("bad.ini:12: [timing] nope: unknown key"),
             std::string::npos);
-  EXPECT_NE(output.find("[instance] id: expected no"), std::string::npos);
+  EXPECT_NE(output.find("[instance] id: expected letters"), std::string::npos);
   EXPECT_EQ(RunTool({daemon, "--check-settings", "/nonexistent"}, &output), 2);
   EXPECT_EQ(RunTool({daemon, "--what"}, &output), 2);
 }
