--- a/include/mangoyoke/slot_allocator.h
+++ b/include/mangoyoke/slot_allocator.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "mangoyoke/clock.h"
@@ -34,7 +35,11 @@
   InstanceId instance;
   uint64_t incarnation = 0;
 
-  auto operator<=>(const RequestOwner&) const = default;
+  bool operator==(const RequestOwner&) const = default;
+  bool operator<(const RequestOwner& other) const {
+    return std::tie(instance, incarnation) <
+           std::tie(other.instance, other.incarnation);
+  }
 };
 
 struct SlotRequest {
--- a/src/daemon/control/admin/admin_api.cc
+++ b/src/daemon/control/admin/admin_api.cc
@@ -55,15 +55,14 @@
   PlanSubmission submission{body["text"].get<std::string>(),
                             body["base"].get<Revision>(),
                             body["submission_id"].get<std::string>()};
-  control_.plans().Submit(
-      std::move(submission), [this, stream](Result<Revision> result) {
-        if (const auto* error = std::get_if<Error>(&result)) {
-          Refuse(metrics_, stream, *error);
-        } else {
-          SendJson(stream, 200,
-                   Json{{"revision", std::get<Revision>(result)}}.dump());
-        }
-      });
+  control_.plans().Submit(submission, [this, stream](Result<Revision> result) {
+    if (const auto* error = std::get_if<Error>(&result)) {
+      Refuse(metrics_, stream, *error);
+    } else {
+      SendJson(stream, 200,
+               Json{{"revision", std::get<Revision>(result)}}.dump());
+    }
+  });
 }
 
 }  // namespace mangoyoke
--- a/src/daemon/control/control_plane.cc
+++ b/src/daemon/control/control_plane.cc
@@ -128,7 +128,7 @@
   if (std::exchange(leaving_, true)) {
     return;
   }
-  LogEvent("leaving");
+  LogEvent("leaving").Field("notice_ms", settings_.leave_notice.count());
   members_->Leave();
   // Callers keep their entry lists for a while, so new work is taken until
   // they have had time to ask again.
--- a/src/daemon/control/membership/membership_service.cc
+++ b/src/daemon/control/membership/membership_service.cc
@@ -62,7 +62,8 @@
   Changed(context_.membership.Tick(now));
   ProbeNow();
   if (context_.membership.TakeDeclaredDead()) {
-    LogEvent("declared_dead", LogLevel::kWarning);
+    LogEvent("declared_dead", LogLevel::kWarning)
+        .Field("epoch", static_cast<int64_t>(context_.membership.self().epoch));
     context_.metrics.Count("mangoyoke_declared_dead_total");
     on_declared_dead.Notify();
   }
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -75,7 +75,7 @@
     callers.Stop();
     admin.Stop();
     supervisor_.Stop();
-    LogEvent("stopped");
+    LogEvent("stopped").Field("cpu_ms", ProcessCpuMillis());
     return 0;
   }
 
--- a/tests/integration/answers_test.cc
+++ b/tests/integration/answers_test.cc
@@ -238,6 +238,31 @@
   EXPECT_EQ(bookings.value("doubles", -1), 0);
 }
 
+TEST(AnswersTest, WholeZoneDiesUnderLoadAndComesBack) {
+  ClusterOptions options;
+  options.entries = 9;
+  Cluster cluster(options);
+  Json report = cluster.RunLoad(
+      "--seconds 8 --rate 12 --bookings 12 --output-tokens 40 --seed 8", [&] {
+        std::this_thread::sleep_for(Millis(2000));
+        for (int i : {0, 3, 6}) {  // All of zone0.
+          cluster.KillEntry(i);
+        }
+        std::this_thread::sleep_for(Millis(2500));
+        for (int i : {0, 3, 6}) {
+          cluster.StartEntry(i);
+        }
+      });
+  ExpectNothingLost(report);
+  const Json& bookings = report["bookings"];
+  EXPECT_EQ(bookings.value("doubles", -1), 0) << report.dump(2);
+  EXPECT_EQ(bookings.value("ran_though_not_run", -1), 0);
+  EXPECT_EQ(bookings.value("confirmed_not_executed", -1), 0);
+  EXPECT_TRUE(Eventually([&] { return cluster.InForceEverywhere(1); }));
+  EXPECT_TRUE(
+      Eventually([&] { return cluster.EnginesEmpty(); }, Millis(15'000)));
+}
+
 TEST(AnswersTest, LeavingBackendGetsNoNewWork) {
   Cluster cluster;
   std::string plan = cluster.PlanText();
