Mend two tests that could not fail, found by breaking the code

Change: the first uses one thread; a new test kills the entry of a caller that does not come back. The load driver counts streams broken off, and the rolling replacement asserts there are none.

--- a/standins/load.cc
+++ b/standins/load.cc
@@ -288,6 +288,10 @@
     return;
   }
   ++resumed_;
+  if (story->received > story->received_before) {
+    ++cut_;  // An answer under way was broken off.
+  }
+  story->received_before = story->received;
   auto timer = std::make_shared<boost::asio::steady_timer>(io_, kRetryPause);
   timer->async_wait([this, timer, story](const boost::system::error_code&) {
     SendStory(story);
@@ -433,6 +437,7 @@
                                    {"in_target", in_target_},
                                    {"ends", story_ends_},
                                    {"resumed", resumed_},
+                                   {"cut", cut_},
                                    {"first_token_ms", Quantiles(first_ms_)},
                                    {"token_gap_ms", Quantiles(gap_ms_)}}},
               {"bookings", Json{{"sent", bookings_},
--- a/standins/load.h
+++ b/standins/load.h
@@ -61,6 +61,7 @@
     int tries = 0;
     int64_t cancel_after = 0;  // Tokens; 0 for never.
     int64_t received = 0;
+    int64_t received_before = 0;  // On earlier connections.
     TimePoint sent;
     TimePoint first;
     TimePoint last;
@@ -125,6 +126,7 @@
   int64_t bookings_ = 0;
   int64_t in_target_ = 0;
   int64_t resumed_ = 0;
+  int64_t cut_ = 0;
   std::vector<double> first_ms_;
   std::vector<double> gap_ms_;
   std::vector<double> booking_ms_;
--- a/tests/integration/answers_test.cc
+++ b/tests/integration/answers_test.cc
@@ -133,6 +133,19 @@
   EXPECT_GT(cluster.EngineSum("cancels"), 0);
 }
 
+TEST(AnswersTest, OrphansOfADeadEntryAreCancelled) {
+  ClusterOptions options;
+  options.engine_flags = "--detach-life-ms 600000";
+  Cluster cluster(options);
+  // A minute of tokens, whose caller does not come back.
+  std::thread caller([&] { cluster.Complete(0, "nobody waits", 3000); });
+  EXPECT_TRUE(Eventually([&] { return cluster.EngineSum("running") > 0; }));
+  cluster.KillEntry(0);
+  caller.join();
+  EXPECT_TRUE(
+      Eventually([&] { return cluster.EnginesEmpty(); }, Millis(20'000)));
+}
+
 TEST(AnswersTest, KilledEntryStreamsAreResumedElsewhere) {
   ClusterOptions options;
   // The engines drop nothing by themselves: orphans have to be cancelled.
@@ -232,6 +245,7 @@
         }
       });
   ExpectNothingLost(report);
+  EXPECT_EQ(report["completions"].value("cut", -1), 0) << report.dump(2);
   const Json& bookings = report["bookings"];
   EXPECT_EQ(bookings["ends"].value("confirmed", 0), bookings.value("sent", -1))
       << report.dump(2);
--- a/tests/integration/bookings_test.cc
+++ b/tests/integration/bookings_test.cc
@@ -56,7 +56,10 @@
 // The HTTP client repeats a request by itself when a kept connection turns
 // out closed; a service that runs a call and closes must not see it again.
 TEST(BookingsTest, KeptConnectionThatClosesDoesNotRepeat) {
-  Cluster cluster;
+  ClusterOptions options;
+  // One thread, so that the second call could use the first one's connection.
+  options.entry_settings = "[limits]\ntraffic_threads = 1\n";
+  Cluster cluster(options);
   for (int i = 0; i < 5; ++i) {
     std::string warm = cluster.TicketOf(0) + ":warm" + std::to_string(i);
     EXPECT_EQ(cluster.Book(0, warm).status, 200);
