Stop entries in the rolling test only while streams are open

Cause: the test stopped its entries before the load had begun, so a daemon that exits at once passed it. Ruled out: the driver's count of cut streams. Before: 'stop at once' missed. After: noticed (2 failures); the unbroken daemon passes.

--- a/tests/integration/answers_test.cc
+++ b/tests/integration/answers_test.cc
@@ -237,6 +237,7 @@
   Json report = cluster.RunLoad(
       "--seconds 12 --rate 10 --bookings 10 --output-tokens 40 --seed 6", [&] {
         for (int i = 0; i < 3; ++i) {
+          std::this_thread::sleep_for(Millis(1000));  // Streams are open.
           cluster.entry(i).Signal(SIGTERM);
           EXPECT_EQ(cluster.entry(i).Wait(Millis(20'000)), 0)
               << cluster.LogOf("entry" + std::to_string(i));
