--- a/include/mangoyoke/error.h
+++ b/include/mangoyoke/error.h
@@ -35,6 +35,7 @@
   kMissingKey = 106,        // Non-idempotent call without Idempotency-Key.
   kBadDeadline = 108,       // The deadline header is not in range.
   kKeyReused = 109,         // The key was used before for another request.
+  kHeaderTooLarge = 110,    // The header exceeds the configured limit.
 
   // 2xx: refused before it ran; may be sent again after the given time.
   kNotReady = 200,           // The instance has no plan yet.
--- a/include/mangoyoke/membership.h
+++ b/include/mangoyoke/membership.h
@@ -46,7 +46,7 @@
   bool Usable() const { return state != MemberState::kDead; }
   // May be given to callers.
   bool AcceptsCallers() const {
-    return state == MemberState::kAlive && !leaving;
+    return state == MemberState::kAlive && !leaving && !caller_address.empty();
   }
 };
 
@@ -82,6 +82,8 @@
   std::vector<InstanceId> Tick(TimePoint now);
   // Announces that this instance stops.
   void Leave();
+  // Announces where this instance takes callers; empty: nowhere.
+  void SetCallerAddress(const std::string& address);
 
   // Whom this instance probes now.
   std::vector<InstanceId> ProbeTargets() const;
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -30,6 +30,8 @@
               "the deadline is not a number of milliseconds in range"},
     ErrorInfo{ErrorCode::kKeyReused, "key_reused", 422, kNotRun,
               "the Idempotency-Key belongs to a different request"},
+    ErrorInfo{ErrorCode::kHeaderTooLarge, "header_too_large", 431, kNotRun,
+              "the header exceeds the configured limit"},
     ErrorInfo{ErrorCode::kNotReady, "not_ready", 503, kNotRun,
               "the instance has no plan yet"},
     ErrorInfo{ErrorCode::kLeaving, "leaving", 503, kNotRun,
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -2,8 +2,13 @@
 
 #include "base/log.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/console.hpp>
@@ -45,11 +50,44 @@
          value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
 }
 
+// Writes to standard output without waiting.
+class NonBlockingBackend
+    : public logging::sinks::basic_formatted_sink_backend<
+          char,
+          logging::sinks::synchronized_feeding> {
+ public:
+  NonBlockingBackend() {
+    int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
+
+  void consume(const logging::record_view&, const std::string& text) {
+    std::string line = text + "\n";
+    if (left_out_ > 0) {
+      line = "event=log_lines_left_out count=" + std::to_string(left_out_) +
+             "\n" + line;
+    }
+    ssize_t written = write(STDOUT_FILENO, line.data(), line.size());
+    left_out_ = written < 0 ? left_out_ + 1 : 0;
+  }
+
+ private:
+  uint64_t left_out_ = 0;  // Lines since the last one that was written.
+};
+
 }  // namespace
 
-void InitLog(std::string_view instance, LogLevel level) {
+void InitLog(std::string_view instance, LogLevel level, LogSink sink) {
   InstanceName() = instance;
   MinimumLevel() = level;
+  if (sink == LogSink::kStandardOutput) {
+    using Frontend = logging::sinks::synchronous_sink<NonBlockingBackend>;
+    auto frontend = boost::make_shared<Frontend>();
+    frontend->set_formatter(logging::expressions::stream
+                            << logging::expressions::smessage);
+    logging::core::get()->add_sink(frontend);
+    return;
+  }
   logging::add_console_log(
       std::clog,
       logging::keywords::format = logging::expressions::stream
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -12,8 +12,17 @@
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
-// Sends log lines to standard error. `instance` is printed in each line.
-void InitLog(std::string_view instance, LogLevel level);
+enum class LogSink {
+  kStandardError,
+  // Never waits for the reader: a line that does not fit in the pipe is left
+  // out and counted.
+  kStandardOutput,
+};
+
+// Sends log lines to `sink`. `instance` is printed in each line.
+void InitLog(std::string_view instance,
+             LogLevel level,
+             LogSink sink = LogSink::kStandardError);
 
 // Builds one log line and writes it when destroyed.
 // Example: LogEvent("plan_in_force").Field("revision", 7);
--- a/src/daemon/supervisor.cc
+++ b/src/base/supervisor.cc
@@ -1,6 +1,6 @@
 // Running and restarting of event loops.
 
-#include "daemon/supervisor.h"
+#include "base/supervisor.h"
 
 #include <cstdlib>
 #include <deque>
--- a/src/daemon/supervisor.h
+++ b/src/base/supervisor.h
@@ -9,8 +9,8 @@
 // A root that cannot hold its children ends the process, so that the platform
 // replaces the instance.
 
-#ifndef MANGOYOKE_DAEMON_SUPERVISOR_H_
-#define MANGOYOKE_DAEMON_SUPERVISOR_H_
+#ifndef MANGOYOKE_BASE_SUPERVISOR_H_
+#define MANGOYOKE_BASE_SUPERVISOR_H_
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -51,4 +51,4 @@
 
 }  // namespace mangoyoke
 
-#endif  // MANGOYOKE_DAEMON_SUPERVISOR_H_
+#endif  // MANGOYOKE_BASE_SUPERVISOR_H_
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -171,6 +171,16 @@
   member.changed_at = ++version_;
 }
 
+void Membership::SetCallerAddress(const std::string& address) {
+  Member& member = members_.at(self_id_);
+  if (member.record.caller_address == address) {
+    return;
+  }
+  member.record.caller_address = address;
+  ++member.record.epoch;
+  member.changed_at = ++version_;
+}
+
 std::vector<InstanceId> Membership::ProbeTargets() const {
   const ZoneId& own_zone = self().zone;
   std::map<ZoneId, std::vector<InstanceId>> zones;
--- a/src/daemon/control/control_context.h
+++ b/src/daemon/control/control_context.h
@@ -1,5 +1,4 @@
-// What all children of the control thread share, and how they announce
-// changes to each other.
+// What all children of the control thread share.
 
 #ifndef MANGOYOKE_DAEMON_CONTROL_CONTROL_CONTEXT_H_
 #define MANGOYOKE_DAEMON_CONTROL_CONTROL_CONTEXT_H_
@@ -11,6 +10,8 @@
 #include <vector>
 
 #include "base/metrics.h"
+#include "base/observers.h"
+#include "base/periodic_timer.h"
 #include "daemon/settings.h"
 #include "http/http_client.h"
 #include "mangoyoke/membership.h"
@@ -27,50 +28,6 @@
   Membership& membership;
 };
 
-// A timer that fires at an interval until destroyed.
-class PeriodicTimer {
- public:
-  PeriodicTimer(boost::asio::io_context& io,
-                Duration interval,
-                std::function<void()> action)
-      : timer_(io), interval_(interval), action_(std::move(action)) {
-    Arm();
-  }
-
- private:
-  void Arm() {
-    timer_.expires_after(interval_);
-    timer_.async_wait([this](const boost::system::error_code& error) {
-      if (error) {
-        return;
-      }
-      Arm();
-      action_();
-    });
-  }
-
-  boost::asio::steady_timer timer_;
-  Duration interval_;
-  std::function<void()> action_;
-};
-
-// Callbacks for one kind of event.
-template <typename... Arguments>
-class Observers {
- public:
-  using Callback = std::function<void(Arguments...)>;
-
-  void Add(Callback callback) { callbacks_.push_back(std::move(callback)); }
-  void Notify(Arguments... arguments) const {
-    for (const Callback& callback : callbacks_) {
-      callback(arguments...);
-    }
-  }
-
- private:
-  std::vector<Callback> callbacks_;
-};
-
 }  // namespace mangoyoke
 
 #endif  // MANGOYOKE_DAEMON_CONTROL_CONTROL_CONTEXT_H_
--- a/src/daemon/control/control_plane.cc
+++ b/src/daemon/control/control_plane.cc
@@ -13,6 +13,8 @@
 
 constexpr Duration kCostInterval = Millis(1000);
 constexpr Millis kDescribeTimeout{1000};
+constexpr Duration kListInterval = Seconds(5);
+constexpr Millis kListTimeout{2000};
 
 MemberRecord SelfRecord(const Settings& settings) {
   MemberRecord record;
@@ -47,7 +49,15 @@
   self_ = RequestOwner{membership_.self().id, membership_.self().incarnation};
   ControlContext context{io_,          settings_, metrics_,
                          peer_client_, http_,     membership_};
-  members_ = std::make_unique<MembershipService>(context);
+  MembershipSettings membership_settings;
+  membership_settings.known_peers = settings_.known_peers;
+  membership_settings.own_addresses = {settings_.advertised_peers,
+                                       settings_.peers};
+  membership_settings.probe_interval = settings_.probe_interval;
+  membership_settings.suspect_after = settings_.suspect_after;
+  members_ = std::make_unique<MembershipService>(
+      MembershipContext{io_, std::move(membership_settings), metrics_,
+                        peer_client_, membership_});
   plans_ = std::make_unique<PlanService>(context);
   allocators_ = std::make_unique<AllocatorService>(context);
   reserving_ =
@@ -106,6 +116,9 @@
     return listening;
   }
   members_->Start();
+  list_timer_ = std::make_unique<PeriodicTimer>(io_, kListInterval,
+                                                [this] { ReadInstanceList(); });
+  ReadInstanceList();
   plans_->Start();
   allocators_->Start();
   watcher_->Start();
@@ -116,6 +129,25 @@
   return Unit{};
 }
 
+void ControlPlane::ReadInstanceList() {
+  ClientRequest request;
+  request.url = settings_.platform_url + "/instances";
+  request.timeout = kListTimeout;
+  http_.Start(std::move(request), [this](ClientResponse response) {
+    Json list = Json::parse(response.body, nullptr, false);
+    if (!response.Succeeded() || !list.is_object()) {
+      return;
+    }
+    std::vector<std::string> addresses;
+    for (const Json& item : list.value("instances", Json::array())) {
+      if (item.is_object() && item.contains("peer_address")) {
+        addresses.push_back(item["peer_address"].get<std::string>());
+      }
+    }
+    members_->AddKnown(addresses);
+  });
+}
+
 void ControlPlane::OnTopologyChange() {
   suspended_ = members_->suspended();
   if (auto plan = plans_->Current()) {
--- a/src/daemon/control/control_plane.h
+++ b/src/daemon/control/control_plane.h
@@ -11,7 +11,6 @@
 
 #include "daemon/control/calls/call_service.h"
 #include "daemon/control/control_context.h"
-#include "daemon/control/membership/membership_service.h"
 #include "daemon/control/orders/order_service.h"
 #include "daemon/control/plan/plan_service.h"
 #include "daemon/control/slots/allocator_service.h"
@@ -20,6 +19,7 @@
 #include "daemon/control/slots/least_loaded_placement.h"
 #include "daemon/control/slots/reserving_placement.h"
 #include "daemon/control_gateway.h"
+#include "membership/membership_service.h"
 
 namespace mangoyoke {
 
@@ -78,6 +78,8 @@
   void OnTopologyChange();
   void RunCall(ServiceRequest request, OutcomeCallback callback);
   void MeasureCost();
+  // Asks the platform for its list of instances.
+  void ReadInstanceList();
   std::vector<EntryAddress> ListEntries(const ZoneId& zone);
 
   boost::asio::io_context& io_;
@@ -99,6 +101,7 @@
   std::unique_ptr<OrderService> orders_;
   std::unique_ptr<CallService> calls_;
   std::unique_ptr<PeriodicTimer> cost_timer_;
+  std::unique_ptr<PeriodicTimer> list_timer_;
   std::vector<LoopRunner> runners_;
   size_t next_runner_ = 0;
   size_t entries_turn_ = 0;  // Rotates the entries given to callers.
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -12,7 +12,7 @@
 #include "daemon/control/admin/admin_api.h"
 #include "daemon/control/control_plane.h"
 #include "daemon/settings.h"
-#include "daemon/supervisor.h"
+#include "base/supervisor.h"
 #include "daemon/traffic/traffic_worker.h"
 #include "http/http_dispatcher.h"
 
--- /dev/null
+++ b/src/gateway/control/store_client.cc
@@ -0,0 +1,73 @@
+// Calls to the store on kept connections.
+
+#include "gateway/control/store_client.h"
+
+#include <boost/asio/post.hpp>
+
+#include "base/log.h"
+
+namespace mangoyoke {
+namespace {
+
+constexpr unsigned kTooManyCalls = 429;
+constexpr unsigned kServerErrors = 500;
+
+// Whether the store itself spoke, rather than turned this instance away.
+bool Answered(const ExchangeOutcome& outcome) {
+  return outcome.end == ExchangeEnd::kComplete &&
+         outcome.head->result_int() < kServerErrors &&
+         outcome.head->result_int() != kTooManyCalls;
+}
+
+}  // namespace
+
+StoreClient::StoreClient(boost::asio::io_context& io,
+                         std::string address,
+                         Metrics& metrics)
+    : io_(io),
+      address_(std::move(address)),
+      metrics_(metrics),
+      pool_(io, nullptr) {}
+
+StoreClient::~StoreClient() = default;
+
+void StoreClient::Call(HttpRequest request, Duration limit, Callback callback) {
+  uint64_t id = next_id_++;
+  metrics_.Count("mangoyoke_store_calls_total");
+  ExchangeHandlers handlers;
+  handlers.on_end = [this, id,
+                     callback = std::move(callback)](ExchangeOutcome outcome) {
+    Ended(id, outcome);
+    callback(std::move(outcome));
+  };
+  auto& call =
+      *calls_.emplace(id, std::make_unique<TimedExchange>(io_, pool_))
+           .first->second;
+  call.Start(address_, std::move(request), "", false, limit,
+             std::move(handlers));
+}
+
+void StoreClient::Ended(uint64_t id, const ExchangeOutcome& outcome) {
+  boost::asio::post(io_, [this, id] { calls_.erase(id); });
+  bool answered = Answered(outcome);
+  SetReachable(answered, outcome);
+  (answered ? on_answer : on_failure).Notify();
+}
+
+void StoreClient::SetReachable(bool reachable, const ExchangeOutcome& outcome) {
+  if (!reachable) {
+    metrics_.Count("mangoyoke_store_failures_total");
+  }
+  if (std::exchange(reachable_, reachable) == reachable) {
+    return;
+  }
+  LogEvent line(reachable ? "store_regained" : "store_lost",
+                LogLevel::kWarning);
+  line.Field("took_ms", ToMillis(outcome.took));
+  line.Field("timed_out", static_cast<int64_t>(outcome.timed_out));
+  if (outcome.head) {
+    line.Field("status", static_cast<int64_t>(outcome.head->result_int()));
+  }
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/gateway/control/table_follower.cc
@@ -0,0 +1,127 @@
+// Reading and following of a table.
+
+#include "gateway/control/table_follower.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+
+namespace mangoyoke {
+namespace {
+
+// How long the store may hold a call for changes. Short enough to find a
+// silent connection before a change has to be in force.
+constexpr Millis kFollowWait{1800};
+// Beyond that, until the call counts as lost.
+constexpr Duration kAnswerTime = Millis(700);
+constexpr Duration kReadLimit = Millis(1500);
+constexpr Duration kFirstBackoff = Millis(80);
+constexpr Duration kLongestBackoff = Millis(600);
+
+}  // namespace
+
+TableFollower::TableFollower(boost::asio::io_context& io,
+                             StoreClient& store,
+                             const StoreCodec& codec,
+                             TableFollowerOptions options,
+                             RowsCallback on_all,
+                             RowsCallback on_changes)
+    : store_(store),
+      codec_(codec),
+      options_(std::move(options)),
+      on_all_(std::move(on_all)),
+      on_changes_(std::move(on_changes)),
+      timer_(io) {}
+
+Duration TableFollower::Backoff() {
+  Duration pause =
+      std::min(kFirstBackoff * (1 << std::min(failures_, 4)), kLongestBackoff);
+  ++failures_;
+  double spread = std::uniform_real_distribution<double>(0.5, 1.0)(random_);
+  return FromMillis(ToMillis(pause) * spread);
+}
+
+void TableFollower::After(Duration pause, std::function<void()> action) {
+  timer_.expires_after(pause);
+  timer_.async_wait([action = std::move(action)](
+                        const boost::system::error_code& error) {
+    if (!error) {
+      action();
+    }
+  });
+}
+
+void TableFollower::ReadPage(const std::string& from) {
+  if (from.empty()) {
+    pages_.clear();
+  }
+  store_.Call(codec_.EncodeRead(options_.table, from), kReadLimit,
+              [this](ExchangeOutcome outcome) { OnPage(std::move(outcome)); });
+}
+
+void TableFollower::OnPage(ExchangeOutcome outcome) {
+  Result<StoreRows> decoded = Error{};
+  if (outcome.Succeeded()) {
+    decoded = codec_.DecodeRows(outcome.body);
+  }
+  auto* page = std::get_if<StoreRows>(&decoded);
+  if (page == nullptr) {
+    After(Backoff(), [this] { ReadPage(""); });
+    return;
+  }
+  failures_ = 0;
+  if (pages_.empty()) {
+    first_page_version_ = page->version;
+  }
+  std::move(page->rows.begin(), page->rows.end(), std::back_inserter(pages_));
+  if (page->more && !page->rows.empty()) {
+    // The key after the last one in byte order.
+    ReadPage(pages_.back().key + '\0');
+    return;
+  }
+  LogEvent("table_read")
+      .Field("table", options_.table)
+      .Field("rows", static_cast<int64_t>(pages_.size()))
+      .Field("version", static_cast<int64_t>(first_page_version_));
+  version_ = first_page_version_;
+  on_all_(pages_, version_);
+  pages_.clear();
+  Follow();
+}
+
+void TableFollower::Follow() {
+  store_.Call(
+      codec_.EncodeFollow(options_.table, version_, kFollowWait),
+      kFollowWait + kAnswerTime,
+      [this](ExchangeOutcome outcome) { OnFollowed(std::move(outcome)); });
+}
+
+void TableFollower::OnFollowed(ExchangeOutcome outcome) {
+  if (outcome.end == ExchangeEnd::kComplete &&
+      codec_.HistoryGone(*outcome.head)) {
+    LogEvent("table_history_gone", LogLevel::kWarning)
+        .Field("table", options_.table)
+        .Field("version", static_cast<int64_t>(version_));
+    ReadPage("");
+    return;
+  }
+  Result<StoreRows> decoded = Error{};
+  if (outcome.Succeeded()) {
+    decoded = codec_.DecodeRows(outcome.body);
+  }
+  const auto* changes = std::get_if<StoreRows>(&decoded);
+  if (changes == nullptr) {
+    After(Backoff(), [this] { Follow(); });
+    return;
+  }
+  failures_ = 0;
+  version_ = std::max(version_, changes->version);
+  if (changes->rows.empty()) {
+    Follow();
+    return;
+  }
+  on_changes_(changes->rows, version_);
+  After(options_.pace, [this] { Follow(); });
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/gateway/core/event_relay.cc
@@ -0,0 +1,55 @@
+// Finding of event ends and event ids.
+
+#include "gateway/core/event_relay.h"
+
+namespace mangoyoke {
+namespace {
+
+constexpr std::string_view kEnd = "\n\n";
+constexpr std::string_view kEndWithReturns = "\r\n\r\n";
+
+// The position after the last event end in `text`; 0 if there is none.
+size_t EndOfEvents(std::string_view text) {
+  size_t end = 0;
+  if (size_t at = text.rfind(kEnd); at != std::string_view::npos) {
+    end = at + kEnd.size();
+  }
+  if (size_t at = text.rfind(kEndWithReturns); at != std::string_view::npos) {
+    end = std::max(end, at + kEndWithReturns.size());
+  }
+  return end;
+}
+
+}  // namespace
+
+std::string EventRelay::Push(std::string_view bytes) {
+  rest_.append(bytes);
+  size_t end = EndOfEvents(rest_);
+  if (end == 0) {
+    return {};
+  }
+  std::string events = rest_.substr(0, end);
+  rest_.erase(0, end);
+  started_ = true;
+  NoteId(events);
+  return events;
+}
+
+void EventRelay::NoteId(std::string_view events) {
+  constexpr std::string_view kField = "id:";
+  size_t at = events.rfind(kField);
+  while (at != std::string_view::npos && at > 0 && events[at - 1] != '\n') {
+    at = events.rfind(kField, at - 1);
+  }
+  if (at == std::string_view::npos) {
+    return;
+  }
+  std::string_view id = events.substr(at + kField.size());
+  id = id.substr(0, id.find_first_of("\r\n"));
+  if (id.starts_with(' ')) {
+    id.remove_prefix(1);
+  }
+  last_id_ = id;
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/gateway/core/event_relay.h
@@ -0,0 +1,36 @@
+// Cuts a stream of server-sent events at event ends, so that only whole events
+// are passed on and a stream that breaks off can go on after the last of them.
+
+#ifndef MANGOYOKE_GATEWAY_CORE_EVENT_RELAY_H_
+#define MANGOYOKE_GATEWAY_CORE_EVENT_RELAY_H_
+
+#include <string>
+#include <string_view>
+
+namespace mangoyoke {
+
+class EventRelay {
+ public:
+  // Takes received bytes; returns the whole events that are complete now,
+  // byte for byte, or an empty string.
+  std::string Push(std::string_view bytes);
+  // Bytes after the last whole event.
+  std::string_view rest() const { return rest_; }
+  // Forgets a partial event, before the stream goes on from another server.
+  void DropRest() { rest_.clear(); }
+  // Id of the last whole event; empty if none had one.
+  const std::string& last_id() const { return last_id_; }
+  // Whether any whole event was passed on.
+  bool started() const { return started_; }
+
+ private:
+  void NoteId(std::string_view events);
+
+  std::string rest_;
+  std::string last_id_;
+  bool started_ = false;
+};
+
+}  // namespace mangoyoke
+
+#endif  // MANGOYOKE_GATEWAY_CORE_EVENT_RELAY_H_
--- /dev/null
+++ b/src/gateway/core/placement.cc
@@ -0,0 +1,107 @@
+// Cost of a backend server for a request.
+
+#include "gateway/core/placement.h"
+
+#include <algorithm>
+
+namespace mangoyoke {
+namespace {
+
+// Prompt tokens that an engine reads in a millisecond before anything was
+// measured.
+constexpr double kPromptTokensPerMs = 30;
+// A plain request's time before anything was measured.
+constexpr double kServiceMs = 60;
+// Time that a failed request costs its caller.
+constexpr double kFailureMs = 400;
+constexpr double kOtherZoneMs = 4;
+// Decoding next to another stream.
+constexpr double kStreamMs = 5;
+// Memory is full: the request waits for others to end.
+constexpr double kFullMs = 2000;
+constexpr double kMemoryShare = 0.92;
+// Costs this close count as equal.
+constexpr double kNoiseMs = 3;
+
+double PlainCost(const BackendServer& server, const LoadCharge& load) {
+  double waiting =
+      static_cast<double>(load.requests) / std::max(1, server.slots);
+  return kServiceMs * (waiting < 1 ? 0.3 * waiting : waiting);
+}
+
+double PrefillCost(const LoadCharge& load, int64_t tokens) {
+  return PrefillMillis(load.prompt_tokens + tokens);
+}
+
+double DecodeCost(const PlacementQuery& query,
+                  const LoadCharge& load,
+                  const ServiceRule* service) {
+  double cost = kStreamMs * static_cast<double>(load.requests) +
+                2 * PrefillMillis(load.prompt_tokens + query.prompt_tokens);
+  if (service != nullptr && service->engine) {
+    double room =
+        kMemoryShare * static_cast<double>(service->engine->kv_tokens);
+    if (static_cast<double>(load.kv_tokens + query.kv_tokens) > room) {
+      cost += kFullMs;
+    }
+  }
+  return cost;
+}
+
+double Cost(const PlacementQuery& query,
+            const PlacementView& view,
+            const BackendServer& server,
+            const LoadCharge& load) {
+  double cost = 0;
+  switch (server.stage) {
+    case ServerStage::kPrefill:
+      cost = PrefillCost(load, query.prompt_tokens);
+      break;
+    case ServerStage::kDecode:
+      cost = DecodeCost(query, load, view.service);
+      break;
+    case ServerStage::kWhole:
+      cost = PlainCost(server, load);
+      break;
+  }
+  cost *= std::max(1.0, view.health.Slowness(server, view.now));
+  cost += kFailureMs * view.health.FailureShare(server, view.now);
+  if (!query.near.empty() && server.zone != query.near) {
+    cost += kOtherZoneMs;
+  }
+  return cost;
+}
+
+}  // namespace
+
+double PrefillMillis(int64_t tokens) {
+  return static_cast<double>(tokens) / kPromptTokensPerMs;
+}
+
+PlacementChoice LeastTimePlacement::Choose(const PlacementQuery& query,
+                                           const PlacementView& view) {
+  PlacementChoice best;
+  bool best_usable = false;
+  double best_key = 0;
+  for (const auto& [id, server] : view.servers.servers) {
+    if (server.service != query.service || server.stage != query.stage ||
+        server.state != ServerState::kReady || query.excluded.contains(id)) {
+      continue;
+    }
+    LoadCharge load = view.load.At(id, view.now);
+    double cost = Cost(query, view, server, load);
+    bool usable = view.health.Usable(server, view.now);
+    double key = cost + kNoiseMs * random_();
+    // An avoided server is better than none.
+    bool better = best.server == nullptr || (usable && !best_usable) ||
+                  (usable == best_usable && key < best_key);
+    if (better) {
+      best = PlacementChoice{&server, cost, load};
+      best_usable = usable;
+      best_key = key;
+    }
+  }
+  return best;
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/gateway/core/placement.h
@@ -0,0 +1,71 @@
+// Choice of the backend server for a request: pure functions of what the entry
+// knows at that moment.
+
+#ifndef MANGOYOKE_GATEWAY_CORE_PLACEMENT_H_
+#define MANGOYOKE_GATEWAY_CORE_PLACEMENT_H_
+
+#include <functional>
+#include <set>
+
+#include "gateway/core/backend_server.h"
+#include "gateway/core/server_health.h"
+#include "gateway/core/server_load.h"
+#include "gateway/core/serving_config.h"
+#include "mangoyoke/clock.h"
+
+namespace mangoyoke {
+
+// What is chosen for.
+struct PlacementQuery {
+  ServiceId service;
+  ServerStage stage = ServerStage::kWhole;
+  int64_t prompt_tokens = 0;
+  int64_t kv_tokens = 0;  // Memory that the request will occupy.
+  ZoneId near;            // Preferred zone, where data has to travel from.
+  std::set<BackendId> excluded;
+};
+
+// What is known at the moment of the choice.
+struct PlacementView {
+  const ServerView& servers;
+  const ServerLoad& load;
+  const ServerHealth& health;
+  const ServiceRule* service = nullptr;
+  TimePoint now;
+};
+
+// A chosen server with the figures that decided.
+struct PlacementChoice {
+  const BackendServer* server = nullptr;  // Null: none is usable.
+  double cost = 0;                        // Milliseconds, by estimate.
+  LoadCharge load;                        // In flight there before.
+};
+
+class ServerPlacement {
+ public:
+  virtual ~ServerPlacement() = default;
+  virtual PlacementChoice Choose(const PlacementQuery& query,
+                                 const PlacementView& view) = 0;
+};
+
+// Takes the server with the least estimated time, by work in flight, slowness
+// and failures; near equals are picked among at random.
+class LeastTimePlacement : public ServerPlacement {
+ public:
+  // `random` returns numbers in [0, 1).
+  explicit LeastTimePlacement(std::function<double()> random)
+      : random_(std::move(random)) {}
+
+  PlacementChoice Choose(const PlacementQuery& query,
+                         const PlacementView& view) override;
+
+ private:
+  std::function<double()> random_;
+};
+
+// Milliseconds that a prefill server needs for `tokens`.
+double PrefillMillis(int64_t tokens);
+
+}  // namespace mangoyoke
+
+#endif  // MANGOYOKE_GATEWAY_CORE_PLACEMENT_H_
--- /dev/null
+++ b/src/gateway/net/http_listener.cc
@@ -0,0 +1,135 @@
+// Accepting of callers' connections.
+
+#include "gateway/net/http_listener.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <vector>
+
+#include "base/log.h"
+#include "gateway/net/http_session.h"
+
+namespace mangoyoke {
+namespace {
+
+constexpr int kBacklog = 1024;
+// After a failed accept, for example without descriptors left.
+constexpr Duration kAcceptPause = Millis(20);
+constexpr size_t kSweepEvery = 64;
+
+}  // namespace
+
+class HttpListener::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& io, RequestHandler& handler)
+      : acceptor_(io),
+        pause_(io),
+        handler_(handler),
+        state_(std::make_shared<ListenerState>()) {}
+
+  Result<Unit> Listen(const std::string& address) {
+    auto endpoint = ParseEndpoint(address);
+    if (const auto* error = std::get_if<Error>(&endpoint)) {
+      return *error;
+    }
+    boost::system::error_code error;
+    const auto& where = std::get<Tcp::endpoint>(endpoint);
+    acceptor_.open(where.protocol(), error);
+    if (!error) {
+      acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+      acceptor_.bind(where, error);
+    }
+    if (!error) {
+      acceptor_.listen(kBacklog, error);
+    }
+    if (error) {
+      return Error{ErrorCode::kSettingsInvalid,
+                   address + ": cannot listen: " + error.message()};
+    }
+    Accept();
+    return Unit{};
+  }
+
+  void Leave() { state_->leaving = true; }
+
+  void Stop() {
+    state_->leaving = true;
+    state_->stopped = true;
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    pause_.cancel();
+    for (const auto& weak : sessions_) {
+      if (auto session = weak.lock()) {
+        session->CloseIfIdle();
+      }
+    }
+  }
+
+ private:
+  void Accept() {
+    acceptor_.async_accept([self = shared_from_this()](
+                               const boost::system::error_code& error,
+                               Tcp::socket socket) {
+      if (self->state_->stopped) {
+        return;
+      }
+      if (error) {
+        LogEvent("accept_failed", LogLevel::kWarning)
+            .Field("why", error.message());
+        self->Pause();
+        return;
+      }
+      auto session = std::make_shared<HttpSession>(
+          std::move(socket), self->handler_, self->state_);
+      self->Remember(session);
+      session->Start();
+      self->Accept();
+    });
+  }
+
+  void Pause() {
+    pause_.expires_after(kAcceptPause);
+    pause_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          if (!error) {
+            self->Accept();
+          }
+        });
+  }
+
+  void Remember(const std::shared_ptr<HttpSession>& session) {
+    if (sessions_.size() % kSweepEvery == 0) {
+      std::erase_if(sessions_, [](const auto& weak) { return weak.expired(); });
+    }
+    sessions_.push_back(session);
+  }
+
+  Tcp::acceptor acceptor_;
+  boost::asio::steady_timer pause_;
+  RequestHandler& handler_;
+  std::shared_ptr<ListenerState> state_;
+  std::vector<std::weak_ptr<HttpSession>> sessions_;
+};
+
+HttpListener::HttpListener(boost::asio::io_context& io, RequestHandler& handler)
+    : impl_(std::make_shared<Impl>(io, handler)) {}
+
+HttpListener::~HttpListener() {
+  impl_->Stop();
+}
+
+Result<Unit> HttpListener::Listen(const std::string& address) {
+  return impl_->Listen(address);
+}
+
+void HttpListener::Leave() {
+  impl_->Leave();
+}
+
+void HttpListener::Stop() {
+  impl_->Stop();
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/gateway/net/http_session.cc
@@ -0,0 +1,352 @@
+// Reading of requests and writing of answers on one caller's connection.
+
+#include "gateway/net/http_session.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <sstream>
+
+#include "base/log.h"
+
+namespace mangoyoke {
+namespace {
+
+constexpr size_t kReadBytes = 8 << 10;
+// Bytes that wait for a slow caller before its backend server is slowed down.
+constexpr size_t kPressureBytes = 256 << 10;
+constexpr Millis kSilence{10'000};
+// How long bytes that still come are read after the last answer; closing with
+// unread bytes would reset the connection and could lose the answer.
+constexpr Duration kLinger = Millis(500);
+constexpr int kHttp10 = 10;
+
+template <typename Message>
+std::string Serialize(const Message& message) {
+  std::ostringstream out;
+  out << message;
+  return out.str();
+}
+
+}  // namespace
+
+HttpSession::HttpSession(Tcp::socket socket,
+                         RequestHandler& handler,
+                         std::shared_ptr<ListenerState> state)
+    : socket_(std::move(socket)),
+      handler_(handler),
+      state_flags_(std::move(state)),
+      timer_(socket_.get_executor()) {}
+
+void HttpSession::Start() {
+  PrepareSocket(socket_, kSilence);
+  NextRequest();
+}
+
+void HttpSession::NextRequest() {
+  CallerLimits limits = handler_.Limits();
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(limits.header_bytes);
+  parser_->body_limit(limits.body_bytes);
+  state_ = State::kIdle;
+  head_seen_ = false;
+  if (buffer_.size() > 0) {
+    Parse();
+    return;
+  }
+  if (state_flags_->stopped) {
+    Close();
+    return;
+  }
+  ArmTimer(limits.idle_timeout);
+  ReadMore();
+}
+
+void HttpSession::ReadMore() {
+  socket_.async_read_some(
+      buffer_.prepare(kReadBytes),
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  size_t size) {
+        if (self->closed_) {
+          return;
+        }
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->buffer_.commit(size);
+        self->Parse();
+      });
+}
+
+void HttpSession::Parse() {
+  if (state_ == State::kIdle) {
+    state_ = State::kReading;
+    ArmTimer(handler_.Limits().header_timeout);
+  }
+  while (buffer_.size() > 0 && !parser_->is_done()) {
+    boost::system::error_code error;
+    size_t used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+    if (error && error != http::error::need_more) {
+      RejectParse(error);
+      return;
+    }
+    if (parser_->is_header_done() && !head_seen_) {
+      OnHeadParsed();
+    }
+    if (used == 0) {
+      break;
+    }
+  }
+  if (parser_->is_done()) {
+    Dispatch();
+  } else {
+    ReadMore();
+  }
+}
+
+void HttpSession::OnHeadParsed() {
+  head_seen_ = true;
+  ArmTimer(handler_.Limits().idle_timeout);
+  const auto& head = parser_->get();
+  auto expect = head.find(http::field::expect);
+  if (expect != head.end() && !parser_->is_done()) {
+    Enqueue("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void HttpSession::RejectParse(const boost::system::error_code& error) {
+  ErrorCode code = ErrorCode::kMalformedRequest;
+  if (error == http::error::body_limit) {
+    code = ErrorCode::kRequestTooLarge;
+  } else if (error == http::error::header_limit) {
+    code = ErrorCode::kHeaderTooLarge;
+  }
+  LogEvent("request_malformed", LogLevel::kWarning)
+      .Field("why", error.message());
+  keep_alive_ = false;
+  state_ = State::kAnswering;
+  Reply(handler_.OnBadRequest(Error{code, error.message()}));
+}
+
+void HttpSession::Dispatch() {
+  state_ = State::kAnswering;
+  timer_.cancel();
+  HttpRequest request = parser_->release();
+  keep_alive_ = request.keep_alive();
+  is_head_ = request.method() == http::verb::head;
+  chunked_ = request.version() > kHttp10;
+  answer_ended_ = false;
+  if (buffer_.size() == 0) {
+    WatchCaller();
+  }
+  handler_.OnRequest(std::move(request), shared_from_this());
+}
+
+void HttpSession::WatchCaller() {
+  if (watching_) {
+    return;
+  }
+  watching_ = true;
+  socket_.async_wait(
+      Tcp::socket::wait_read,
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        self->watching_ = false;
+        if (self->closed_ || self->state_ != State::kAnswering) {
+          return;
+        }
+        char byte = 0;
+        ssize_t got = error ? 0
+                            : recv(self->socket_.native_handle(), &byte, 1,
+                                   MSG_PEEK | MSG_DONTWAIT);
+        if (got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR)) {
+          self->CallerGone();
+        }
+      });
+}
+
+void HttpSession::CallerGone() {
+  auto callback = std::exchange(on_gone_, nullptr);
+  Close();
+  if (callback) {
+    callback();
+  }
+}
+
+void HttpSession::OnCallerGone(std::function<void()> callback) {
+  on_gone_ = std::move(callback);
+}
+
+void HttpSession::OnPressure(std::function<void(bool)> callback) {
+  on_pressure_ = std::move(callback);
+}
+
+void HttpSession::Reply(HttpResponse response) {
+  keep_alive_ = keep_alive_ && !state_flags_->leaving;
+  response.version(11);
+  response.keep_alive(keep_alive_);
+  if (!is_head_) {
+    response.prepare_payload();
+  } else {
+    response.body().clear();
+  }
+  Enqueue(Serialize(response));
+  EndAnswer();
+}
+
+void HttpSession::BeginStream(http::response_header<> head) {
+  keep_alive_ = keep_alive_ && chunked_ && !state_flags_->leaving;
+  http::response<http::empty_body> start(std::move(head));
+  start.version(11);
+  start.keep_alive(keep_alive_);
+  start.erase(http::field::content_length);
+  start.erase(http::field::transfer_encoding);
+  if (chunked_) {
+    start.set(http::field::transfer_encoding, "chunked");
+  }
+  std::ostringstream out;
+  out << start.base();
+  Enqueue(out.str());
+}
+
+void HttpSession::Write(std::string data) {
+  if (!chunked_) {
+    Enqueue(std::move(data));
+    return;
+  }
+  Enqueue(boost::beast::buffers_to_string(
+      http::make_chunk(boost::asio::buffer(data))));
+}
+
+void HttpSession::EndStream() {
+  if (chunked_) {
+    Enqueue(boost::beast::buffers_to_string(http::make_chunk_last()));
+  }
+  EndAnswer();
+}
+
+void HttpSession::Abort() {
+  on_gone_ = nullptr;
+  Close();
+}
+
+void HttpSession::EndAnswer() {
+  on_gone_ = nullptr;
+  on_pressure_ = nullptr;
+  answer_ended_ = true;
+  if (!writing_ && !closed_) {
+    AnswerWritten();
+  }
+}
+
+void HttpSession::Enqueue(std::string data) {
+  if (closed_ || data.empty()) {
+    return;
+  }
+  queued_bytes_ += data.size();
+  queue_.push_back(std::move(data));
+  if (queued_bytes_ > kPressureBytes && !under_pressure_) {
+    under_pressure_ = true;
+    if (on_pressure_) {
+      on_pressure_(true);
+    }
+  }
+  Flush();
+}
+
+void HttpSession::Flush() {
+  if (writing_ || queue_.empty() || closed_) {
+    return;
+  }
+  writing_ = true;
+  boost::asio::async_write(
+      socket_, boost::asio::buffer(queue_.front()),
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  size_t) {
+        self->writing_ = false;
+        if (self->closed_) {
+          return;
+        }
+        if (error) {
+          self->CallerGone();
+          return;
+        }
+        self->queued_bytes_ -= self->queue_.front().size();
+        self->queue_.pop_front();
+        if (self->under_pressure_ && self->queued_bytes_ < kPressureBytes / 2) {
+          self->under_pressure_ = false;
+          if (self->on_pressure_) {
+            self->on_pressure_(false);
+          }
+        }
+        self->Flush();
+        if (self->queue_.empty() && self->answer_ended_) {
+          self->AnswerWritten();
+        }
+      });
+}
+
+void HttpSession::AnswerWritten() {
+  answer_ended_ = false;
+  if (keep_alive_) {
+    NextRequest();
+    return;
+  }
+  boost::system::error_code ignored;
+  socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+  state_ = State::kLingering;
+  ArmTimer(kLinger);
+  Linger();
+}
+
+void HttpSession::Linger() {
+  buffer_.clear();
+  socket_.async_read_some(
+      buffer_.prepare(kReadBytes),
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  size_t) {
+        if (self->closed_) {
+          return;
+        }
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->Linger();
+      });
+}
+
+void HttpSession::CloseIfIdle() {
+  if (state_ == State::kIdle) {
+    Close();
+  }
+}
+
+void HttpSession::ArmTimer(Duration timeout) {
+  timer_.expires_after(timeout);
+  timer_.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& error) {
+        auto self = weak.lock();
+        if (!error && self && self->state_ != State::kAnswering) {
+          self->Close();
+        }
+      });
+}
+
+void HttpSession::Close() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  timer_.cancel();
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/gateway/net/timed_exchange.cc
@@ -0,0 +1,89 @@
+// Life of one exchange.
+
+#include "gateway/net/timed_exchange.h"
+
+#include <boost/asio/post.hpp>
+
+namespace mangoyoke {
+
+TimedExchange::TimedExchange(boost::asio::io_context& io, ConnectionPool& pool)
+    : io_(io), pool_(pool), timer_(io) {}
+
+TimedExchange::~TimedExchange() {
+  if (connection_) {
+    connection_->Close();
+  }
+}
+
+void TimedExchange::Start(const std::string& address,
+                          HttpRequest request,
+                          const std::string& request_id,
+                          bool careful,
+                          Duration limit,
+                          ExchangeHandlers handlers) {
+  started_ = SteadyClock::now();
+  address_ = address;
+  handlers_ = std::move(handlers);
+  connection_ = pool_.Take(address, careful);
+  if (!connection_) {
+    // The address cannot be parsed.
+    boost::asio::post(io_, [this, life = std::weak_ptr<bool>(life_)] {
+      if (!life.expired()) {
+        OnEnd(ExchangeEnd::kNotSent);
+      }
+    });
+    return;
+  }
+  SetLimit(limit);
+  connection_->Send(std::move(request), request_id, *this);
+}
+
+void TimedExchange::SetLimit(Duration limit) {
+  timer_.expires_after(limit);
+  timer_.async_wait([this, life = std::weak_ptr<bool>(life_)](
+                        const boost::system::error_code& error) {
+    if (error || life.expired() || !connection_ ||
+        timer_.expiry() > SteadyClock::now()) {
+      return;
+    }
+    outcome_.timed_out = true;
+    connection_->Close();
+    OnEnd(ExchangeEnd::kBroken);
+  });
+}
+
+void TimedExchange::SetPaused(bool paused) {
+  if (connection_) {
+    connection_->SetPaused(paused);
+  }
+}
+
+void TimedExchange::OnHead(const http::response_header<>& head) {
+  outcome_.head = head;
+  if (handlers_.on_head) {
+    hand_out_ = handlers_.on_head(head);
+  }
+}
+
+void TimedExchange::OnData(std::string data) {
+  if (hand_out_) {
+    handlers_.on_data(std::move(data));
+  } else {
+    outcome_.body.append(data);
+  }
+}
+
+void TimedExchange::OnEnd(ExchangeEnd end) {
+  timer_.cancel();
+  auto connection = std::exchange(connection_, nullptr);
+  if (connection && end == ExchangeEnd::kComplete) {
+    pool_.Give(address_, std::move(connection));
+  }
+  outcome_.end = end;
+  outcome_.took = SteadyClock::now() - started_;
+  // The callback may destroy this object.
+  auto on_end = std::move(handlers_.on_end);
+  on_end(std::move(outcome_));
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/gateway/settings.cc
@@ -0,0 +1,142 @@
+// Parsing of the gateway's settings.
+
+#include "gateway/settings.h"
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+#include "mangoyoke/ini_document.h"
+
+namespace mangoyoke {
+namespace {
+
+constexpr int64_t kMaxMillis = 600'000;
+constexpr int64_t kMaxSeconds = 3600;
+
+class GatewaySettingsParser {
+ public:
+  explicit GatewaySettingsParser(std::string file) : file_(std::move(file)) {}
+
+  Result<GatewaySettings> Parse(const IniDocument& document) {
+    for (const IniSection& section : document.sections) {
+      IniSectionReader reader(section, file_, problems_);
+      if (!ReadSection(section.kind, reader)) {
+        problems_.push_back(file_ + ":" + std::to_string(section.line) + ": [" +
+                            section.kind + "]: unknown section");
+        continue;
+      }
+      reader.Finish();
+    }
+    if (problems_.empty() &&
+        (settings_.id.empty() || settings_.callers.empty() ||
+         settings_.store.empty())) {
+      problems_.push_back(file_ +
+                          ": expected [instance] id, [listen] callers and "
+                          "[store] address");
+    }
+    if (auto error = JoinProblems(problems_, ErrorCode::kSettingsInvalid)) {
+      return *error;
+    }
+    return settings_;
+  }
+
+ private:
+  bool ReadSection(const std::string& kind, IniSectionReader& reader) {
+    if (kind == "instance") {
+      settings_.id = reader.RequiredText("id");
+      settings_.zone = reader.RequiredText("zone");
+      settings_.region = reader.Text("region", "");
+    } else if (kind == "listen") {
+      ReadListen(reader);
+    } else if (kind == "store") {
+      settings_.store = reader.RequiredText("address");
+    } else if (kind == "peers") {
+      settings_.known_peers = reader.List("known");
+    } else if (kind == "repeats") {
+      ReadRepeats(reader);
+    } else if (kind == "timing") {
+      ReadTiming(reader);
+    } else if (kind == "log") {
+      settings_.log_level =
+          reader.Choice("level", "info", {"debug", "info", "warning", "error"});
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  void ReadListen(IniSectionReader& reader) {
+    settings_.callers = reader.RequiredText("callers");
+    settings_.ready = reader.Text("ready", "");
+    settings_.entries = reader.Text("entries", "");
+    settings_.peers = reader.Text("peers", "");
+    settings_.metrics = reader.Text("metrics", "");
+    settings_.load_port =
+        static_cast<uint16_t>(reader.Number("load_port", 0, 0, 65535));
+  }
+
+  void ReadRepeats(IniSectionReader& reader) {
+    RepeatBudgetOptions& budget = settings_.repeat_budget;
+    budget.share = Fraction(reader, "share", budget.share);
+    budget.fixed = Fraction(reader, "fixed", budget.fixed);
+    budget.window = Seconds(reader.Number("window_s", 10, 1, kMaxSeconds));
+  }
+
+  void ReadTiming(IniSectionReader& reader) {
+    settings_.longest_entries_ttl =
+        Seconds(reader.Number("entries_ttl_s", 5, 1, kMaxSeconds));
+    settings_.leave_limit =
+        Seconds(reader.Number("leave_limit_s", 8, 1, kMaxSeconds));
+    settings_.server_leave_limit =
+        Millis(reader.Number("server_leave_ms", 2000, 1, kMaxMillis));
+    settings_.server_return_time =
+        Millis(reader.Number("server_return_ms", 2000, 1, kMaxMillis));
+  }
+
+  // A number with a fraction, 0 or more.
+  double Fraction(IniSectionReader& reader,
+                  const std::string& key,
+                  double fallback) {
+    std::string text = reader.Text(key, "");
+    if (text.empty()) {
+      return fallback;
+    }
+    double value = 0;
+    const char* end = text.data() + text.size();
+    auto [stop, error] = std::from_chars(text.data(), end, value);
+    if (error != std::errc() || stop != end || value < 0) {
+      problems_.push_back(file_ + ": " + key + ": expected a number, not '" +
+                          text + "'");
+      return fallback;
+    }
+    return value;
+  }
+
+  std::string file_;
+  GatewaySettings settings_;
+  std::vector<std::string> problems_;
+};
+
+}  // namespace
+
+Result<GatewaySettings> ParseGatewaySettings(const std::string& text,
+                                             const std::string& file) {
+  auto document = ParseIni(text, file, ErrorCode::kSettingsInvalid);
+  if (const auto* error = std::get_if<Error>(&document)) {
+    return *error;
+  }
+  return GatewaySettingsParser(file).Parse(std::get<IniDocument>(document));
+}
+
+Result<GatewaySettings> LoadGatewaySettings(const std::string& path) {
+  std::ifstream input(path);
+  if (!input) {
+    return Error{ErrorCode::kSettingsInvalid, path + ": cannot be read"};
+  }
+  std::ostringstream text;
+  text << input.rdbuf();
+  return ParseGatewaySettings(text.str(), path);
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/gateway/traffic/engine_run.cc
@@ -0,0 +1,295 @@
+// Prefill, decode, resume.
+
+#include "gateway/traffic/engine_run.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+
+namespace mangoyoke {
+namespace {
+
+constexpr int kMaxUnreachable = 4;
+// Prefill servers tried before the decode server reads the prompt itself.
+constexpr int kMaxPrefills = 2;
+constexpr int kMaxDecodeRefusals = 4;
+constexpr int kMaxResumes = 3;
+// A prefill is given up beyond its estimate times this, plus a constant.
+constexpr double kPrefillPatience = 3;
+constexpr double kPrefillPatienceMs = 300;
+// A stream that may be resumed is moved after this many target gaps, or this
+// part of the first-event target, without an event.
+constexpr double kGapPatience = 3;
+constexpr double kFirstEventPatience = 0.7;
+
+}  // namespace
+
+EngineRun::EngineRun(TrafficContext& context, RunTable& table, RunInput input)
+    : RequestRun(context, table, std::move(input)) {}
+
+EngineRun::~EngineRun() {
+  DropHandle();
+}
+
+void EngineRun::Begin() {
+  Prefill();
+}
+
+int64_t EngineRun::KvTokens() const {
+  return input_.facts.prompt_tokens + input_.facts.max_output_tokens;
+}
+
+void EngineRun::DropHandle() {
+  if (handle_) {
+    ReleaseHandle(context_, *handle_);
+    handle_.reset();
+  }
+}
+
+void EngineRun::Prefill() {
+  PlacementQuery query;
+  query.stage = ServerStage::kPrefill;
+  query.prompt_tokens = input_.facts.prompt_tokens;
+  query.excluded = failed_prefills_;
+  PlacementChoice choice = Place(query);
+  if (choice.server == nullptr || prefills_ >= kMaxPrefills ||
+      unreachable_ >= kMaxUnreachable) {
+    Decode();
+    return;
+  }
+  LoadCharge charge;
+  charge.requests = 1;
+  charge.prompt_tokens = input_.facts.prompt_tokens;
+  BackendCall call;
+  call.prefill_only = true;
+  AttemptHandlers handlers;
+  handlers.on_end = [this, server = *choice.server](AttemptOutcome outcome) {
+    OnPrefillEnd(server, std::move(outcome));
+  };
+  double patience = choice.cost * kPrefillPatience + kPrefillPatienceMs;
+  Duration limit = std::min(std::max<Duration>(TimeLeft(), Millis(1)),
+                            FromMillis(patience));
+  Send(*choice.server, call, charge, limit, std::move(handlers));
+}
+
+void EngineRun::OnPrefillEnd(const BackendServer& server,
+                             AttemptOutcome outcome) {
+  NoteOutcome(server, outcome, 0);
+  if (outcome.end == ExchangeEnd::kNotSent) {
+    ++unreachable_;
+    failed_prefills_.insert(server.id);
+    Prefill();
+    return;
+  }
+  ++prefills_;
+  ++sends_;
+  if (outcome.end == ExchangeEnd::kComplete && outcome.answer.status == 200) {
+    auto decoded = context_.backends.DecodePrefill(server, outcome.body);
+    if (auto* handle = std::get_if<PrefillHandle>(&decoded)) {
+      handle_ = *handle;
+      prefill_ms_ = ToMillis(outcome.took);
+      Decode();
+      return;
+    }
+    LogEvent("prefill_malformed", LogLevel::kWarning)
+        .Field("request", input_.facts.id)
+        .Field("server", server.id)
+        .Field("why", std::get<Error>(decoded).detail);
+  }
+  failed_prefills_.insert(server.id);
+  if (!TakeRepeat()) {
+    FailBeforeRun("the prompt could not be read");
+    return;
+  }
+  Prefill();
+}
+
+void EngineRun::Decode() {
+  PlacementQuery query;
+  query.stage = ServerStage::kDecode;
+  query.prompt_tokens = handle_ ? 0 : input_.facts.prompt_tokens;
+  query.kv_tokens = KvTokens();
+  if (handle_) {
+    const BackendServer* reader = context_.servers->Find(handle_->server);
+    query.near = reader != nullptr ? reader->zone : ZoneId();
+  }
+  PlacementChoice choice = Place(query);
+  if (choice.server == nullptr && !handle_) {
+    query.stage = ServerStage::kWhole;
+    choice = Place(query);
+  }
+  if (choice.server == nullptr) {
+    FailBeforeRun("no usable decode server");
+    return;
+  }
+  decode_cost_ms_ = choice.cost;
+  SendDecode(*choice.server);
+}
+
+Duration EngineRun::EventLimit() const {
+  Duration left = std::max<Duration>(TimeLeft(), Millis(1));
+  bool movable = input_.route->resumable &&
+                 runs_ + 1 < input_.route->max_servers;
+  if (!movable) {
+    return left;
+  }
+  double patience =
+      relay_.started()
+          ? kGapPatience * static_cast<double>(input_.route->target_gap.count())
+          : kFirstEventPatience *
+                static_cast<double>(input_.route->target_latency.count());
+  return std::min(left, FromMillis(patience));
+}
+
+void EngineRun::SendDecode(const BackendServer& server) {
+  LoadCharge charge;
+  charge.requests = 1;
+  charge.kv_tokens = KvTokens();
+  charge.prompt_tokens = handle_ ? 0 : input_.facts.prompt_tokens;
+  BackendCall call;
+  call.kv = handle_;
+  if (relay_.started()) {
+    call.resume_after = relay_.last_id();
+  }
+  AttemptHandlers handlers;
+  handlers.on_head = [this](const http::response_header<>& head,
+                            const BackendAnswer& answer) {
+    return OnDecodeHead(head, answer);
+  };
+  handlers.on_data = [this](std::string data) {
+    OnDecodeData(std::move(data));
+  };
+  handlers.on_end = [this, server](AttemptOutcome outcome) {
+    OnDecodeEnd(server, std::move(outcome));
+  };
+  Send(server, call, charge, EventLimit(), std::move(handlers));
+}
+
+bool EngineRun::OnDecodeHead(const http::response_header<>& head,
+                             const BackendAnswer& answer) {
+  if (answer.status != 200 || !answer.event_stream) {
+    return false;
+  }
+  handle_.reset();
+  if (!streaming_) {
+    streaming_ = true;
+    input_.exchange->OnPressure([this](bool high) {
+      if (attempt_) {
+        attempt_->SetPaused(high);
+      }
+    });
+    input_.exchange->BeginStream(context_.backends.EncodeAnswerHead(head));
+  }
+  return true;
+}
+
+void EngineRun::OnDecodeData(std::string data) {
+  bool first = !relay_.started();
+  std::string events = relay_.Push(data);
+  if (events.empty()) {
+    return;
+  }
+  if (first) {
+    first_event_ms_ = ToMillis(Age());
+    context_.metrics.Observe("mangoyoke_first_event_ms", first_event_ms_);
+    LoadCharge charge;
+    charge.requests = 1;
+    charge.kv_tokens = KvTokens();
+    attempt_->SetCharge(charge);
+  }
+  attempt_->SetLimit(EventLimit());
+  input_.exchange->Write(std::move(events));
+}
+
+void EngineRun::OnDecodeEnd(const BackendServer& server,
+                            AttemptOutcome outcome) {
+  NoteOutcome(server, outcome, 0);
+  excluded_.insert(server.id);
+  if (outcome.end == ExchangeEnd::kNotSent) {
+    if (++unreachable_ < kMaxUnreachable) {
+      Decode();
+    } else {
+      FailBeforeRun("no decode server could be connected");
+    }
+    return;
+  }
+  ++sends_;
+  if (outcome.NotRun()) {
+    OnDecodeNotRun();
+    return;
+  }
+  ++runs_;
+  if (outcome.end == ExchangeEnd::kBroken) {
+    OnDecodeBroken(outcome.timed_out);
+    return;
+  }
+  if (outcome.answer.status == 200 && outcome.answer.event_stream) {
+    input_.exchange->Write(std::string(relay_.rest()));
+    EndStream();
+    return;
+  }
+  if (streaming_ || outcome.answer.status >= 500) {
+    OnDecodeBroken(false);
+    return;
+  }
+  Reply(*outcome.head, std::move(outcome.body));
+}
+
+void EngineRun::OnDecodeNotRun() {
+  ++decode_refusals_;
+  if (decode_refusals_ >= kMaxDecodeRefusals || TimeLeft() < Duration::zero() ||
+      !TakeRepeat()) {
+    FailBeforeRun("decode servers refused");
+    return;
+  }
+  // The memory may be what could not be had: after a second refusal the
+  // decode server reads the prompt itself.
+  if (decode_refusals_ > 1) {
+    DropHandle();
+  }
+  Decode();
+}
+
+void EngineRun::OnDecodeBroken(bool timed_out) {
+  relay_.DropRest();
+  ErrorCode code =
+      timed_out ? ErrorCode::kBackendTimeout : ErrorCode::kBackendBroken;
+  bool may_resume = input_.route->resumable &&
+                    runs_ < input_.route->max_servers &&
+                    resumes_ < kMaxResumes && TimeLeft() > Duration::zero();
+  if (may_resume && TakeRepeat()) {
+    ++resumes_;
+    context_.metrics.Count("mangoyoke_resumes_total");
+    LogEvent("stream_resume")
+        .Field("request", input_.facts.id)
+        .Field("after", relay_.last_id());
+    prefills_ = 0;
+    Prefill();
+    return;
+  }
+  if (streaming_) {
+    BreakStream(code, "the stream broke off");
+  } else {
+    Refuse(code, "the stream did not begin");
+  }
+}
+
+void EngineRun::FailBeforeRun(std::string_view why) {
+  if (streaming_) {
+    BreakStream(ErrorCode::kBackendBroken, why);
+  } else if (runs_ > 0) {
+    Refuse(ErrorCode::kBackendBroken, why);
+  } else {
+    Refuse(ErrorCode::kNoBackend, why);
+  }
+}
+
+void EngineRun::DescribeEnd(LogEvent& line) const {
+  line.Field("prompt_tokens", input_.facts.prompt_tokens)
+      .Field("prefill_ms", prefill_ms_)
+      .Field("first_event_ms", first_event_ms_)
+      .Field("resumes", static_cast<int64_t>(resumes_))
+      .Field("decode_cost_ms", decode_cost_ms_);
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/gateway/traffic/plain_run.h
@@ -0,0 +1,30 @@
+// A request to a plain service: one send, and others where that is allowed.
+
+#ifndef MANGOYOKE_GATEWAY_TRAFFIC_PLAIN_RUN_H_
+#define MANGOYOKE_GATEWAY_TRAFFIC_PLAIN_RUN_H_
+
+#include "gateway/traffic/request_run.h"
+
+namespace mangoyoke {
+
+class PlainRun : public RequestRun {
+ public:
+  using RequestRun::RequestRun;
+
+ private:
+  void Begin() override;
+  void OnCallerGone() override;
+
+  void SendNext();
+  void OnSendEnd(const BackendServer& server, AttemptOutcome outcome);
+  // Sends again if that is allowed; else gives the answer at hand.
+  void SendAgainOr(ErrorCode code, std::string_view why);
+  Duration SendLimit() const;
+
+  int unreachable_ = 0;  // Servers that could not be connected.
+  std::optional<AttemptOutcome> last_answer_;  // A failure that a server gave.
+};
+
+}  // namespace mangoyoke
+
+#endif  // MANGOYOKE_GATEWAY_TRAFFIC_PLAIN_RUN_H_
--- /dev/null
+++ b/src/gateway/traffic/server_attempt.cc
@@ -0,0 +1,47 @@
+// Life of one send.
+
+#include "gateway/traffic/server_attempt.h"
+
+namespace mangoyoke {
+
+ServerAttempt::ServerAttempt(TrafficContext& context,
+                             BackendServer server,
+                             const LoadCharge& charge)
+    : context_(context),
+      server_(std::move(server)),
+      charge_id_(context.load.Charge(server_.id, charge)),
+      exchange_(context.io, context.pool) {}
+
+ServerAttempt::~ServerAttempt() {
+  context_.load.Release(charge_id_);
+}
+
+void ServerAttempt::Start(HttpRequest request,
+                          const std::string& request_id,
+                          bool careful,
+                          Duration limit,
+                          AttemptHandlers handlers) {
+  ExchangeHandlers inner;
+  inner.on_head = [this, on_head = std::move(handlers.on_head)](
+                      const http::response_header<>& head) {
+    answer_ = context_.backends.DecodeAnswer(head);
+    return on_head && on_head(head, answer_);
+  };
+  inner.on_data = std::move(handlers.on_data);
+  inner.on_end = [this, on_end = std::move(handlers.on_end)](
+                     ExchangeOutcome ended) {
+    context_.load.Release(charge_id_);
+    AttemptOutcome outcome;
+    static_cast<ExchangeOutcome&>(outcome) = std::move(ended);
+    outcome.answer = answer_;
+    on_end(std::move(outcome));
+  };
+  exchange_.Start(server_.address, std::move(request), request_id, careful,
+                  limit, std::move(inner));
+}
+
+void ServerAttempt::SetCharge(const LoadCharge& charge) {
+  context_.load.Change(charge_id_, charge);
+}
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/gateway/traffic/traffic_context.h
@@ -0,0 +1,59 @@
+// What all requests on the traffic thread share. Used on that thread only.
+
+#ifndef MANGOYOKE_GATEWAY_TRAFFIC_TRAFFIC_CONTEXT_H_
+#define MANGOYOKE_GATEWAY_TRAFFIC_TRAFFIC_CONTEXT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <random>
+
+#include "base/metrics.h"
+#include "gateway/core/placement.h"
+#include "gateway/core/ports.h"
+#include "gateway/core/repeat_budget.h"
+#include "gateway/core/server_health.h"
+#include "gateway/core/server_load.h"
+#include "gateway/net/connection_pool.h"
+
+namespace mangoyoke {
+
+class ServerAttempt;
+
+struct TrafficContext {
+  TrafficContext(boost::asio::io_context& io_context,
+                 const CallerCodec& caller_codec,
+                 const BackendCodec& backend_codec,
+                 Metrics& process_metrics,
+                 RepeatBudgetOptions budget_options);
+  ~TrafficContext();
+
+  // A number in [0, 1).
+  double Random() {
+    return std::uniform_real_distribution<double>(0, 1)(random);
+  }
+
+  boost::asio::io_context& io;
+  const CallerCodec& callers;
+  const BackendCodec& backends;
+  Metrics& metrics;
+  std::mt19937_64 random{std::random_device{}()};
+  ConnectionPool pool;
+  ServerLoad load;
+  ServerHealth health;
+  RepeatBudget budget;
+  std::unique_ptr<ServerPlacement> placement;
+  // Null until the first one is known.
+  std::shared_ptr<const ServingConfig> config;
+  std::shared_ptr<const ServerView> servers;
+  // Calls that no request waits for, by id.
+  std::map<uint64_t, std::unique_ptr<ServerAttempt>> background;
+  uint64_t next_background = 1;
+};
+
+// Frees the memory behind `handle` without waiting for the answer.
+void ReleaseHandle(TrafficContext& context, const PrefillHandle& handle);
+
+}  // namespace mangoyoke
+
+#endif  // MANGOYOKE_GATEWAY_TRAFFIC_TRAFFIC_CONTEXT_H_
--- a/src/daemon/control/membership/member_codec.cc
+++ b/src/membership/member_codec.cc
@@ -1,6 +1,6 @@
 // Encoding of member records.
 
-#include "daemon/control/membership/member_codec.h"
+#include "membership/member_codec.h"
 
 namespace mangoyoke {
 
--- a/src/daemon/control/membership/member_codec.h
+++ b/src/membership/member_codec.h
@@ -1,7 +1,7 @@
 // Member records as messages between instances.
 
-#ifndef MANGOYOKE_DAEMON_CONTROL_MEMBERSHIP_MEMBER_CODEC_H_
-#define MANGOYOKE_DAEMON_CONTROL_MEMBERSHIP_MEMBER_CODEC_H_
+#ifndef MANGOYOKE_MEMBERSHIP_MEMBER_CODEC_H_
+#define MANGOYOKE_MEMBERSHIP_MEMBER_CODEC_H_
 
 #include <nlohmann/json.hpp>
 #include <vector>
@@ -19,4 +19,4 @@
 
 }  // namespace mangoyoke
 
-#endif  // MANGOYOKE_DAEMON_CONTROL_MEMBERSHIP_MEMBER_CODEC_H_
+#endif  // MANGOYOKE_MEMBERSHIP_MEMBER_CODEC_H_
--- a/src/daemon/control/membership/membership_service.cc
+++ b/src/membership/membership_service.cc
@@ -1,28 +1,29 @@
 // Probing and spreading of membership records.
 
-#include "daemon/control/membership/membership_service.h"
+#include "membership/membership_service.h"
 
 #include <algorithm>
 
 #include "base/log.h"
-#include "daemon/control/membership/member_codec.h"
+#include "membership/member_codec.h"
 #include "mangoyoke/rendezvous.h"
 
 namespace mangoyoke {
 namespace {
 
 constexpr Duration kRejoinInterval = Millis(500);
-constexpr Duration kListInterval = Seconds(5);
 constexpr size_t kMaxRecordsPerMessage = 64;
 constexpr size_t kFirstContacts = 4;
-constexpr Millis kListTimeout{2000};
 
 }  // namespace
 
-MembershipService::MembershipService(ControlContext context)
-    : context_(context), last_tick_(SteadyClock::now()) {
-  known_addresses_.insert(context_.settings.known_peers.begin(),
-                          context_.settings.known_peers.end());
+MembershipService::MembershipService(MembershipContext context)
+    : context_(std::move(context)), last_tick_(SteadyClock::now()) {
+  AddKnown(context_.settings.known_peers);
+}
+
+void MembershipService::AddKnown(const std::vector<std::string>& addresses) {
+  known_addresses_.insert(addresses.begin(), addresses.end());
 }
 
 void MembershipService::Start() {
@@ -31,8 +32,6 @@
       context_.io, context_.settings.probe_interval, [this] { Tick(); });
   rejoin_timer_ = std::make_unique<PeriodicTimer>(context_.io, kRejoinInterval,
                                                   [this] { RejoinOne(); });
-  list_timer_ = std::make_unique<PeriodicTimer>(context_.io, kListInterval,
-                                                [this] { ReadPlatformList(); });
   // A few suffice: they know the others. RejoinOne asks for who is missing.
   std::vector<std::string> order =
       RendezvousOrder(context_.membership.self().id,
@@ -41,7 +40,6 @@
   for (const std::string& address : order) {
     Contact(address);
   }
-  ReadPlatformList();
 }
 
 void MembershipService::Leave() {
@@ -177,8 +175,8 @@
 }
 
 void MembershipService::Contact(const std::string& address) {
-  if (address == context_.settings.advertised_peers ||
-      address == context_.settings.peers) {
+  const auto& own = context_.settings.own_addresses;
+  if (std::find(own.begin(), own.end(), address) != own.end()) {
     return;
   }
   auto all = context_.membership.ChangesSince(0, kMaxRecordsPerMessage);
@@ -213,24 +211,6 @@
   Contact(*std::next(candidates.begin(), static_cast<ptrdiff_t>(next_rejoin_)));
 }
 
-void MembershipService::ReadPlatformList() {
-  ClientRequest request;
-  request.url = context_.settings.platform_url + "/instances";
-  request.timeout = kListTimeout;
-  context_.http.Start(std::move(request), [this](ClientResponse response) {
-    Json list = Json::parse(response.body, nullptr, false);
-    if (!response.Succeeded() || !list.is_object()) {
-      return;
-    }
-    // A hint for joining only, never proof of death.
-    for (const Json& item : list.value("instances", Json::array())) {
-      if (item.is_object() && item.contains("peer_address")) {
-        known_addresses_.insert(item["peer_address"].get<std::string>());
-      }
-    }
-  });
-}
-
 void MembershipService::Changed(const std::vector<InstanceId>& ids) {
   if (ids.empty()) {
     return;
--- a/src/daemon/control/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -1,22 +1,44 @@
 // Keeps the membership current: probes, merges, finds out about pauses.
 
-#ifndef MANGOYOKE_DAEMON_CONTROL_MEMBERSHIP_MEMBERSHIP_SERVICE_H_
-#define MANGOYOKE_DAEMON_CONTROL_MEMBERSHIP_MEMBERSHIP_SERVICE_H_
+#ifndef MANGOYOKE_MEMBERSHIP_MEMBERSHIP_SERVICE_H_
+#define MANGOYOKE_MEMBERSHIP_MEMBERSHIP_SERVICE_H_
 
 #include <map>
 #include <set>
 #include <string>
 
-#include "daemon/control/control_context.h"
+#include "base/metrics.h"
+#include "base/observers.h"
+#include "base/periodic_timer.h"
+#include "mangoyoke/membership.h"
+#include "peer/peer_transport.h"
 
 namespace mangoyoke {
 
+struct MembershipSettings {
+  std::vector<std::string> known_peers;  // Asked first, "IP:port".
+  std::vector<std::string> own_addresses;
+  Millis probe_interval{250};
+  Millis suspect_after{1000};  // A pause of this length is a suspension.
+};
+
+struct MembershipContext {
+  boost::asio::io_context& io;
+  MembershipSettings settings;
+  Metrics& metrics;
+  PeerClient& peers;
+  Membership& membership;
+};
+
 class MembershipService {
  public:
-  explicit MembershipService(ControlContext context);
+  explicit MembershipService(MembershipContext context);
 
-  // Starts probing; contacts the known peers and the platform's list.
+  // Starts probing; contacts the known peers.
   void Start();
+  // Addresses at which other instances may be; a hint for joining only, never
+  // proof of death.
+  void AddKnown(const std::vector<std::string>& addresses);
   // Announces that this instance stops.
   void Leave();
 
@@ -54,11 +76,10 @@
   void NoteRevision(const Json& message, const std::string& address);
   Json MakeProbe(uint64_t seen, const Membership::Changes& changes) const;
   void RejoinOne();
-  void ReadPlatformList();
   void Changed(const std::vector<InstanceId>& ids);
   void EndSuspension();
 
-  ControlContext context_;
+  MembershipContext context_;
   Revision revision_ = 0;
   bool suspended_ = false;
   TimePoint last_tick_;
@@ -68,9 +89,8 @@
   size_t next_rejoin_ = 0;
   std::unique_ptr<PeriodicTimer> tick_timer_;
   std::unique_ptr<PeriodicTimer> rejoin_timer_;
-  std::unique_ptr<PeriodicTimer> list_timer_;
 };
 
 }  // namespace mangoyoke
 
-#endif  // MANGOYOKE_DAEMON_CONTROL_MEMBERSHIP_MEMBERSHIP_SERVICE_H_
+#endif  // MANGOYOKE_MEMBERSHIP_MEMBERSHIP_SERVICE_H_
