Find room at a decode server before a prompt is read

Change: a request is admitted only when a decode server has memory for it by this entry's view and the others' reports; above 0.6 of the memory the server confirms with a reservation; otherwise it waits, newest first, and is refused as soon as the target is out of reach.

--- a/src/gateway/core/event_relay.cc
+++ b/src/gateway/core/event_relay.cc
@@ -30,11 +30,20 @@
   }
   std::string events = rest_.substr(0, end);
   rest_.erase(0, end);
-  started_ = true;
+  CountEvents(events);
   NoteId(events);
   return events;
 }
 
+void EventRelay::CountEvents(std::string_view events) {
+  bool returns = events.ends_with(kEndWithReturns);
+  std::string_view end = returns ? kEndWithReturns : kEnd;
+  for (size_t at = events.find(end); at != std::string_view::npos;
+       at = events.find(end, at + end.size())) {
+    ++events_;
+  }
+}
+
 void EventRelay::NoteId(std::string_view events) {
   constexpr std::string_view kField = "id:";
   size_t at = events.rfind(kField);
--- a/src/gateway/core/event_relay.h
+++ b/src/gateway/core/event_relay.h
@@ -4,6 +4,7 @@
 #ifndef MANGOYOKE_GATEWAY_CORE_EVENT_RELAY_H_
 #define MANGOYOKE_GATEWAY_CORE_EVENT_RELAY_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -20,15 +21,17 @@
   void DropRest() { rest_.clear(); }
   // Id of the last whole event; empty if none had one.
   const std::string& last_id() const { return last_id_; }
-  // Whether any whole event was passed on.
-  bool started() const { return started_; }
+  // Whole events passed on so far.
+  int64_t events() const { return events_; }
+  bool started() const { return events_ > 0; }
 
  private:
   void NoteId(std::string_view events);
+  void CountEvents(std::string_view events);
 
   std::string rest_;
   std::string last_id_;
-  bool started_ = false;
+  int64_t events_ = 0;
 };
 
 }  // namespace mangoyoke
--- a/src/gateway/core/placement.cc
+++ b/src/gateway/core/placement.cc
@@ -19,7 +19,8 @@
 constexpr double kStreamMs = 5;
 // Memory is full: the request waits for others to end.
 constexpr double kFullMs = 2000;
-constexpr double kMemoryShare = 0.92;
+// Memory beyond this share is left for running requests to grow into.
+constexpr double kMemoryShare = 0.97;
 // Costs this close count as equal.
 constexpr double kNoiseMs = 3;
 
@@ -33,17 +34,25 @@
   return PrefillMillis(load.prompt_tokens + tokens);
 }
 
+// Share of the server's memory that is in use, with `more` tokens added.
+double MemoryShare(const LoadCharge& load,
+                   int64_t more,
+                   const ServiceRule* service) {
+  if (service == nullptr || !service->engine ||
+      service->engine->kv_tokens <= 0) {
+    return 0;
+  }
+  return static_cast<double>(load.kv_tokens + more) /
+         static_cast<double>(service->engine->kv_tokens);
+}
+
 double DecodeCost(const PlacementQuery& query,
                   const LoadCharge& load,
                   const ServiceRule* service) {
   double cost = kStreamMs * static_cast<double>(load.requests) +
                 2 * PrefillMillis(load.prompt_tokens + query.prompt_tokens);
-  if (service != nullptr && service->engine) {
-    double room =
-        kMemoryShare * static_cast<double>(service->engine->kv_tokens);
-    if (static_cast<double>(load.kv_tokens + query.kv_tokens) > room) {
-      cost += kFullMs;
-    }
+  if (MemoryShare(load, query.kv_tokens, service) > kMemoryShare) {
+    cost += kFullMs;
   }
   return cost;
 }
@@ -96,7 +105,9 @@
     bool better = best.server == nullptr || (usable && !best_usable) ||
                   (usable == best_usable && key < best_key);
     if (better) {
-      best = PlacementChoice{&server, cost, load};
+      double after = MemoryShare(load, query.kv_tokens, view.service);
+      best = PlacementChoice{&server, cost, load, usable, after <= kMemoryShare,
+                             MemoryShare(load, 0, view.service)};
       best_usable = usable;
       best_key = key;
     }
--- a/src/gateway/core/ports.h
+++ b/src/gateway/core/ports.h
@@ -37,6 +37,7 @@
   std::string model;           // Empty: not for a model.
   int64_t prompt_tokens = 0;
   int64_t max_output_tokens = 0;
+  std::optional<int64_t> expected_output_tokens;  // The caller's estimate.
   std::string resume_after;  // Last event the caller has; empty: from the start.
 
   bool operator==(const CallerRequest&) const = default;
@@ -52,11 +53,21 @@
   bool operator==(const PrefillHandle&) const = default;
 };
 
+// Room reserved at a decode server: a slot and memory.
+struct RoomHold {
+  BackendId server;
+  std::string address;  // Of that server, "IP:port".
+  std::string hold;
+
+  bool operator==(const RoomHold&) const = default;
+};
+
 // How a request is sent to a backend server.
 struct BackendCall {
   const BackendServer* server = nullptr;
   bool prefill_only = false;                // Read the prompt, do not run.
   std::optional<PrefillHandle> kv;          // Take the prompt from here.
+  std::optional<RoomHold> room;             // Use this reservation.
   std::optional<std::string> resume_after;  // In place of the caller's own.
   Millis time_left{0};
 };
@@ -102,6 +113,14 @@
       const BackendServer& server, const std::string& body) const = 0;
   // Frees the memory behind `handle`.
   virtual HttpRequest EncodeRelease(const PrefillHandle& handle) const = 0;
+  // Reserves room for `tokens` at `server` for `life`.
+  virtual HttpRequest EncodeHold(const BackendServer& server,
+                                 int64_t tokens,
+                                 Millis life) const = 0;
+  virtual Result<RoomHold> DecodeHold(const BackendServer& server,
+                                      const std::string& body) const = 0;
+  // Gives the room behind `hold` back.
+  virtual HttpRequest EncodeHoldDrop(const RoomHold& hold) const = 0;
 };
 
 // Rows of one table of the store.
--- a/src/gateway/core/serving_config.h
+++ b/src/gateway/core/serving_config.h
@@ -57,6 +57,8 @@
 struct EngineSpec {
   int64_t slots = 0;
   int64_t kv_tokens = 0;       // Memory of one engine, in tokens.
+  int64_t event_tokens = 1;    // Tokens in one event of a stream.
+  Millis hold_life{0};         // Longest reservation of room; 0: none.
   Millis handle_life{0};       // How long a prefill result is kept.
   Millis role_switch_time{0};  // Until an engine is back in another stage.
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <cxxopts.hpp>
+#include <filesystem>
 #include <future>
 #include <iostream>
 
@@ -18,6 +19,7 @@
 #include "gateway/control/store_client.h"
 #include "gateway/settings.h"
 #include "gateway/traffic/front_handler.h"
+#include "gateway/traffic/load_reporter.h"
 #include "membership/membership_service.h"
 #include "peer/peer_transport.h"
 
@@ -35,6 +37,7 @@
 // Ends this long before the kill.
 constexpr Duration kKillMargin = Millis(600);
 constexpr Duration kDrainPoll = Millis(50);
+constexpr Duration kSettingsPoll = Seconds(2);
 constexpr Duration kSweepInterval = Millis(500);
 
 LogLevel ParseLevel(const std::string& name) {
@@ -47,6 +50,10 @@
   return name == "error" ? LogLevel::kError : LogLevel::kInfo;
 }
 
+std::string IpOf(const std::string& address) {
+  return address.substr(0, address.rfind(':'));
+}
+
 MemberRecord SelfRecord(const GatewaySettings& settings) {
   MemberRecord record;
   record.id = settings.id;
@@ -112,13 +119,27 @@
     return Unit{};
   }
 
+  void Reload(const GatewaySettings& settings) {
+    store_.SetAddress(settings.store);
+    members_.AddKnown(settings.known_peers);
+  }
+
   void Leave() {
     leaving_ = true;
     members_.Leave();
   }
 
   ServingState& state() { return state_; }
-  size_t EntryCount() const { return membership_.Usable().size(); }
+  // "IP:port" of the other usable instances.
+  std::vector<std::string> OtherInstances() const {
+    std::vector<std::string> addresses;
+    for (const MemberRecord& record : membership_.All()) {
+      if (record.id != membership_.self().id && record.Usable()) {
+        addresses.push_back(record.peer_address);
+      }
+    }
+    return addresses;
+  }
   Observers<const std::vector<InstanceId>&>& on_members() {
     return members_.on_change;
   }
@@ -174,16 +195,6 @@
     }
   }
 
-  std::vector<std::string> OtherInstances() const {
-    std::vector<std::string> addresses;
-    for (const MemberRecord& record : membership_.All()) {
-      if (record.id != membership_.self().id && record.Usable()) {
-        addresses.push_back(record.peer_address);
-      }
-    }
-    return addresses;
-  }
-
   const GatewaySettings& settings_;
   PeerClient peer_client_;
   PeerServer peer_server_;
@@ -213,9 +224,16 @@
                  settings.repeat_budget),
         handler_(context_),
         front_(io, handler_),
+        reporter_(context_, settings.id),
         sweep_timer_(io, kSweepInterval, [this] { Sweep(); }) {}
 
-  Result<Unit> Start() { return front_.Listen(settings_.callers); }
+  Result<Unit> Start() {
+    if (auto result = front_.Listen(settings_.callers);
+        !Ok(result) || settings_.load_port == 0) {
+      return result;
+    }
+    return reporter_.Start(IpOf(settings_.callers), settings_.load_port);
+  }
   void SetConfig(std::shared_ptr<const ServingConfig> config) {
     context_.config = std::move(config);
   }
@@ -223,7 +241,14 @@
     context_.servers = std::move(servers);
     context_.health.KeepOnly(*context_.servers);
   }
-  void SetEntries(size_t entries) { context_.budget.SetEntries(entries); }
+  // The IPs of the other entries.
+  void SetOthers(const std::vector<std::string>& ips) {
+    context_.budget.SetEntries(ips.size() + 1);
+    reporter_.SetOthers(ips);
+  }
+  void SetBudget(const RepeatBudgetOptions& options) {
+    context_.budget.SetOptions(options);
+  }
   void Leave() { front_.Leave(); }
   void Stop() { front_.Stop(); }
   size_t open() const { return handler_.open(); }
@@ -243,21 +268,28 @@
   TrafficContext context_;
   FrontHandler handler_;
   HttpListener front_;
+  LoadReporter reporter_;
   PeriodicTimer sweep_timer_;
 };
 
 // The process: both threads, signals and the orderly stop.
 class Gateway {
  public:
-  Gateway(GatewaySettings settings, const GatewayPorts& ports)
+  Gateway(GatewaySettings settings,
+          const std::string& settings_path,
+          const GatewayPorts& ports)
       : settings_(std::move(settings)),
         supervisor_(metrics_),
         control_io_(supervisor_.AddLoop("control")),
         traffic_io_(supervisor_.AddLoop("traffic")),
         control_(control_io_, settings_, ports, metrics_),
         traffic_(traffic_io_, settings_, ports, metrics_),
-        signals_(control_io_, SIGTERM, SIGINT),
-        drain_timer_(control_io_) {
+        signals_(control_io_, SIGTERM, SIGINT, SIGHUP),
+        drain_timer_(control_io_),
+        settings_path_(settings_path),
+        settings_timer_(control_io_,
+                        kSettingsPoll,
+                        [this] { ReloadIfChanged(); }) {
     control_.state().on_config.Add([this] {
       boost::asio::post(traffic_io_, [this, config = control_.state().config()] {
         traffic_.SetConfig(config);
@@ -270,13 +302,20 @@
                         });
     });
     control_.on_members().Add([this](const std::vector<InstanceId>&) {
-      boost::asio::post(traffic_io_, [this, entries = control_.EntryCount()] {
-        traffic_.SetEntries(entries);
+      std::vector<std::string> ips;
+      for (const std::string& address : control_.OtherInstances()) {
+        ips.push_back(IpOf(address));
+      }
+      boost::asio::post(traffic_io_, [this, ips = std::move(ips)] {
+        traffic_.SetOthers(ips);
       });
     });
   }
 
   int Run() {
+    std::error_code ignored;  // Read again at the first poll.
+    settings_changed_ =
+        std::filesystem::last_write_time(settings_path_, ignored);
     if (auto result = traffic_.Start(); !Ok(result)) {
       return ReportListenError(result);
     }
@@ -306,6 +345,11 @@
           if (error) {
             return;
           }
+          if (signal == SIGHUP) {
+            Reload();
+            WaitForSignal();
+            return;
+          }
           LogEvent("leaving").Field("signal", static_cast<int64_t>(signal));
           control_.Leave();
           boost::asio::post(traffic_io_, [this] { traffic_.Leave(); });
@@ -314,6 +358,33 @@
         });
   }
 
+  // The file may change without a signal.
+  void ReloadIfChanged() {
+    std::error_code error;
+    auto changed = std::filesystem::last_write_time(settings_path_, error);
+    if (!error && changed != settings_changed_) {
+      settings_changed_ = changed;
+      Reload();
+    }
+  }
+
+  // Takes what may change while running; the rest needs a restart.
+  void Reload() {
+    auto loaded = LoadGatewaySettings(settings_path_);
+    if (const auto* error = std::get_if<Error>(&loaded)) {
+      LogEvent("settings_kept", LogLevel::kWarning).Field("why", error->detail);
+      metrics_.Count("mangoyoke_reloads_total", "outcome", "invalid");
+      return;
+    }
+    const auto& settings = std::get<GatewaySettings>(loaded);
+    control_.Reload(settings);
+    boost::asio::post(traffic_io_, [this, budget = settings.repeat_budget] {
+      traffic_.SetBudget(budget);
+    });
+    LogEvent("settings_reloaded").Field("store", settings.store);
+    metrics_.Count("mangoyoke_reloads_total", "outcome", "done");
+  }
+
   // Ends the process when nothing is open, after the notice.
   void AskOpen() {
     drain_timer_.expires_after(kDrainPoll);
@@ -357,6 +428,9 @@
   GatewayTraffic traffic_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer drain_timer_;
+  std::string settings_path_;
+  std::filesystem::file_time_type settings_changed_;
+  PeriodicTimer settings_timer_;
   TimePoint leave_started_;
   std::promise<void> stopped_;
 };
@@ -392,7 +466,7 @@
   }
   const auto& valid = std::get<GatewaySettings>(settings);
   InitLog(valid.id, ParseLevel(valid.log_level), LogSink::kStandardOutput);
-  return Gateway(valid, ports).Run();
+  return Gateway(valid, path, ports).Run();
 }
 
 }  // namespace mangoyoke
--- a/src/gateway/traffic/engine_run.cc
+++ b/src/gateway/traffic/engine_run.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "base/log.h"
+#include "gateway/traffic/engine_admission.h"
 
 namespace mangoyoke {
 namespace {
@@ -21,6 +22,18 @@
 // part of the first-event target, without an event.
 constexpr double kGapPatience = 3;
 constexpr double kFirstEventPatience = 0.7;
+// Tokens that a stream generates while others decide by its memory.
+constexpr int64_t kGrowthTokens = 200;
+// Below this share of its memory in use, a server is sure to have room.
+constexpr double kSureRoomShare = 0.6;
+constexpr unsigned kNoRoom = 503;
+constexpr Duration kRoomCallLimit = Millis(150);
+// A server that refused room is not asked again at once.
+constexpr Duration kRoomLife = Millis(1500);
+// Time from admission to the first event, beyond the prefill estimate.
+constexpr double kFirstEventMs = 80;
+// Without a target, a request waits for room at most this long.
+constexpr Duration kLongestWait = Seconds(1);
 
 }  // namespace
 
@@ -28,21 +41,144 @@
     : RequestRun(context, table, std::move(input)) {}
 
 EngineRun::~EngineRun() {
+  context_.admission->Remove(input_.service, id());
+  Unreserve();
   DropHandle();
+  DropRoom();
 }
 
-void EngineRun::Begin() {
-  Prefill();
+const EngineSpec* EngineRun::Engine() const {
+  const ServiceRule* service = input_.config->FindService(input_.service);
+  return service != nullptr && service->engine ? &*service->engine : nullptr;
 }
 
 int64_t EngineRun::KvTokens() const {
-  return input_.facts.prompt_tokens + input_.facts.max_output_tokens;
+  const EngineSpec* engine = Engine();
+  int64_t event_tokens = engine != nullptr ? engine->event_tokens : 1;
+  return input_.facts.prompt_tokens + relay_.events() * event_tokens + kGrowthTokens;
+}
+
+void EngineRun::Reserve(const BackendId& server) {
+  Unreserve();
+  LoadCharge charge;
+  charge.requests = 1;
+  charge.kv_tokens = KvTokens();
+  reservation_ = context_.load.Charge(server, charge);
+}
+
+void EngineRun::Unreserve() {
+  context_.load.Release(reservation_);
+  reservation_ = 0;
 }
 
 void EngineRun::DropHandle() {
-  if (handle_) {
-    ReleaseHandle(context_, *handle_);
-    handle_.reset();
+  if (auto handle = std::exchange(handle_, std::nullopt)) {
+    ReleaseHandle(context_, *handle);
+  }
+}
+
+void EngineRun::DropRoom() {
+  if (auto room = std::exchange(room_, std::nullopt)) {
+    ReleaseRoom(context_, *room);
+  }
+}
+
+void EngineRun::Begin() {
+  // Those that wait already go first unless this one is admitted at once.
+  if (!TryAdmit()) {
+    Wait();
+  }
+}
+
+void EngineRun::Wait() {
+  double prefill = PrefillMillis(input_.facts.prompt_tokens) + kFirstEventMs;
+  Duration longest = kLongestWait;
+  if (input_.route->target_latency > Millis(0)) {
+    longest = input_.route->target_latency - FromMillis(prefill);
+  }
+  TimePoint leave_at = SteadyClock::now() - Age() + longest;
+  context_.admission->Wait(input_.service, id(), input_.route->priority,
+                           leave_at);
+}
+
+void EngineRun::GiveUpWaiting() {
+  if (!ended_) {
+    FailBeforeRun(ErrorCode::kDeadlineExpired, "no engine has room");
+  }
+}
+
+PlacementChoice EngineRun::ChooseDecode() {
+  PlacementQuery query;
+  query.stage = ServerStage::kDecode;
+  query.kv_tokens = KvTokens();
+  PlacementChoice choice = Place(query);
+  if (choice.server == nullptr) {
+    query.stage = ServerStage::kWhole;
+    choice = Place(query);
+  }
+  return choice;
+}
+
+bool EngineRun::TryAdmit() {
+  if (ended_) {
+    return true;
+  }
+  PlacementChoice choice = ChooseDecode();
+  if (choice.server == nullptr) {
+    FailBeforeRun(ErrorCode::kNoBackend, "no usable decode server");
+    return true;
+  }
+  if (!choice.has_room || !choice.usable) {
+    return false;
+  }
+  memory_share_ = choice.memory_share;
+  target_ = *choice.server;
+  Reserve(target_->id);
+  const EngineSpec* engine = Engine();
+  bool sure = choice.memory_share < kSureRoomShare || engine == nullptr ||
+              engine->hold_life == Millis(0);
+  if (sure) {
+    admitted_ms_ = ToMillis(Age());
+    Prefill();
+  } else {
+    TakeRoom(*target_);
+  }
+  return true;
+}
+
+void EngineRun::TakeRoom(const BackendServer& server) {
+  AttemptHandlers handlers;
+  handlers.on_end = [this, server](AttemptOutcome outcome) {
+    OnRoom(server, std::move(outcome));
+  };
+  Millis life = std::min(std::chrono::duration_cast<Millis>(kRoomLife),
+                         Engine()->hold_life);
+  attempt_ = std::make_unique<ServerAttempt>(context_, server, LoadCharge{});
+  attempt_->Start(context_.backends.EncodeHold(server, KvTokens(), life), "",
+                  false, kRoomCallLimit, std::move(handlers));
+}
+
+void EngineRun::OnRoom(const BackendServer& server, AttemptOutcome outcome) {
+  attempt_.reset();
+  if (outcome.Succeeded()) {
+    auto decoded = context_.backends.DecodeHold(server, outcome.body);
+    if (auto* room = std::get_if<RoomHold>(&decoded)) {
+      room_ = *room;
+      admitted_ms_ = ToMillis(Age());
+      Prefill();
+      return;
+    }
+  }
+  if (outcome.answer.status == kNoRoom) {
+    context_.health.Note(server, ServerEvidence::kFull, 0, SteadyClock::now());
+  } else {
+    NoteOutcome(server, outcome, 0);
+  }
+  Unreserve();
+  target_.reset();
+  // Another server may have room; else wait.
+  if (!TryAdmit()) {
+    Wait();
   }
 }
 
@@ -98,31 +234,24 @@
   }
   failed_prefills_.insert(server.id);
   if (!TakeRepeat()) {
-    FailBeforeRun("the prompt could not be read");
+    FailBeforeRun(ErrorCode::kNoBackend, "the prompt could not be read");
     return;
   }
   Prefill();
 }
 
 void EngineRun::Decode() {
-  PlacementQuery query;
-  query.stage = ServerStage::kDecode;
-  query.prompt_tokens = handle_ ? 0 : input_.facts.prompt_tokens;
-  query.kv_tokens = KvTokens();
-  if (handle_) {
-    const BackendServer* reader = context_.servers->Find(handle_->server);
-    query.near = reader != nullptr ? reader->zone : ZoneId();
-  }
-  PlacementChoice choice = Place(query);
-  if (choice.server == nullptr && !handle_) {
-    query.stage = ServerStage::kWhole;
-    choice = Place(query);
+  if (target_) {
+    SendDecode(*std::exchange(target_, std::nullopt));
+    return;
   }
+  DropRoom();
+  PlacementChoice choice = ChooseDecode();
   if (choice.server == nullptr) {
-    FailBeforeRun("no usable decode server");
+    FailBeforeRun(ErrorCode::kNoBackend, "no usable decode server");
     return;
   }
-  decode_cost_ms_ = choice.cost;
+  memory_share_ = choice.memory_share;
   SendDecode(*choice.server);
 }
 
@@ -146,8 +275,10 @@
   charge.requests = 1;
   charge.kv_tokens = KvTokens();
   charge.prompt_tokens = handle_ ? 0 : input_.facts.prompt_tokens;
+  Unreserve();
   BackendCall call;
   call.kv = handle_;
+  call.room = std::exchange(room_, std::nullopt);
   if (relay_.started()) {
     call.resume_after = relay_.last_id();
   }
@@ -192,11 +323,11 @@
   if (first) {
     first_event_ms_ = ToMillis(Age());
     context_.metrics.Observe("mangoyoke_first_event_ms", first_event_ms_);
-    LoadCharge charge;
-    charge.requests = 1;
-    charge.kv_tokens = KvTokens();
-    attempt_->SetCharge(charge);
   }
+  LoadCharge charge;
+  charge.requests = 1;
+  charge.kv_tokens = KvTokens();
+  attempt_->SetCharge(charge);
   attempt_->SetLimit(EventLimit());
   input_.exchange->Write(std::move(events));
 }
@@ -209,7 +340,7 @@
     if (++unreachable_ < kMaxUnreachable) {
       Decode();
     } else {
-      FailBeforeRun("no decode server could be connected");
+      FailBeforeRun(ErrorCode::kNoBackend, "no decode server could be connected");
     }
     return;
   }
@@ -239,7 +370,7 @@
   ++decode_refusals_;
   if (decode_refusals_ >= kMaxDecodeRefusals || TimeLeft() < Duration::zero() ||
       !TakeRepeat()) {
-    FailBeforeRun("decode servers refused");
+    FailBeforeRun(ErrorCode::kNoBackend, "decode servers refused");
     return;
   }
   // The memory may be what could not be had: after a second refusal the
@@ -274,22 +405,25 @@
   }
 }
 
-void EngineRun::FailBeforeRun(std::string_view why) {
+void EngineRun::FailBeforeRun(ErrorCode code, std::string_view why) {
   if (streaming_) {
     BreakStream(ErrorCode::kBackendBroken, why);
   } else if (runs_ > 0) {
     Refuse(ErrorCode::kBackendBroken, why);
   } else {
-    Refuse(ErrorCode::kNoBackend, why);
+    Refuse(code, why);
   }
 }
 
 void EngineRun::DescribeEnd(LogEvent& line) const {
   line.Field("prompt_tokens", input_.facts.prompt_tokens)
+      .Field("max_output_tokens", input_.facts.max_output_tokens)
+      .Field("admitted_ms", admitted_ms_)
       .Field("prefill_ms", prefill_ms_)
       .Field("first_event_ms", first_event_ms_)
       .Field("resumes", static_cast<int64_t>(resumes_))
-      .Field("decode_cost_ms", decode_cost_ms_);
+      .Field("events", relay_.events())
+      .Field("memory_share", memory_share_);
 }
 
 }  // namespace mangoyoke
--- a/src/gateway/traffic/engine_run.h
+++ b/src/gateway/traffic/engine_run.h
@@ -1,5 +1,6 @@
-// A request to a model: the prompt is read by a prefill server, then a decode
-// server takes the memory over and streams events.
+// A request to a model: room is found at a decode server, the prompt is read
+// by a prefill server, then the decode server takes the memory over and
+// streams events.
 
 #ifndef MANGOYOKE_GATEWAY_TRAFFIC_ENGINE_RUN_H_
 #define MANGOYOKE_GATEWAY_TRAFFIC_ENGINE_RUN_H_
@@ -14,12 +15,23 @@
   EngineRun(TrafficContext& context, RunTable& table, RunInput input);
   ~EngineRun() override;
 
+  // Goes on if a decode server has room. Returns whether it does.
+  bool TryAdmit();
+  // Waited for room until the target was out of reach.
+  void GiveUpWaiting();
+
  private:
   void Begin() override;
   void DescribeEnd(LogEvent& line) const override;
 
+  void Wait();
+  PlacementChoice ChooseDecode();
+  void TakeRoom(const BackendServer& server);
+  void OnRoom(const BackendServer& server, AttemptOutcome outcome);
+  void DropRoom();
   void Prefill();
   void OnPrefillEnd(const BackendServer& server, AttemptOutcome outcome);
+  void DropHandle();
   void Decode();
   void SendDecode(const BackendServer& server);
   bool OnDecodeHead(const http::response_header<>& head,
@@ -28,21 +40,29 @@
   void OnDecodeEnd(const BackendServer& server, AttemptOutcome outcome);
   void OnDecodeNotRun();
   void OnDecodeBroken(bool timed_out);
-  void FailBeforeRun(std::string_view why);
-  void DropHandle();
+  void FailBeforeRun(ErrorCode code, std::string_view why);
+  // Memory that the request occupies once it runs, and soon after.
   int64_t KvTokens() const;
+  // Marks memory at `server` as this run's, in place of what was marked.
+  void Reserve(const BackendId& server);
+  void Unreserve();
   Duration EventLimit() const;
+  const EngineSpec* Engine() const;
 
   EventRelay relay_;
+  std::optional<BackendServer> target_;  // Decode server with room.
+  uint64_t reservation_ = 0;             // Its memory; 0: none marked.
+  std::optional<RoomHold> room_;         // Confirmed by the server.
   std::optional<PrefillHandle> handle_;  // Read and not yet taken.
   std::set<BackendId> failed_prefills_;
   int prefills_ = 0;        // Prefill calls that reached a server.
   int unreachable_ = 0;     // Servers that could not be connected.
   int decode_refusals_ = 0;
   int resumes_ = 0;
+  double admitted_ms_ = 0;
   double prefill_ms_ = 0;
   double first_event_ms_ = 0;
-  double decode_cost_ms_ = 0;
+  double memory_share_ = 0;  // Of the decode server, when it was chosen.
 };
 
 }  // namespace mangoyoke
--- a/src/gateway/traffic/front_handler.cc
+++ b/src/gateway/traffic/front_handler.cc
@@ -15,6 +15,24 @@
 
 }  // namespace
 
+FrontHandler::FrontHandler(TrafficContext& context)
+    : context_(context),
+      runs_(context.io),
+      admission_(
+          context.io,
+          EngineAdmission::Callbacks{
+              [this](uint64_t id) {
+                auto* run = static_cast<EngineRun*>(runs_.Find(id));
+                return run == nullptr || run->TryAdmit();
+              },
+              [this](uint64_t id) {
+                if (auto* run = static_cast<EngineRun*>(runs_.Find(id))) {
+                  run->GiveUpWaiting();
+                }
+              }}) {
+  context_.admission = &admission_;
+}
+
 CallerLimits FrontHandler::Limits() const {
   return context_.config ? context_.config->limits() : CallerLimits{};
 }
--- a/src/gateway/traffic/front_handler.h
+++ b/src/gateway/traffic/front_handler.h
@@ -4,14 +4,14 @@
 #define MANGOYOKE_GATEWAY_TRAFFIC_FRONT_HANDLER_H_
 
 #include "gateway/net/http_listener.h"
+#include "gateway/traffic/engine_admission.h"
 #include "gateway/traffic/request_run.h"
 
 namespace mangoyoke {
 
 class FrontHandler : public RequestHandler {
  public:
-  explicit FrontHandler(TrafficContext& context)
-      : context_(context), runs_(context.io) {}
+  explicit FrontHandler(TrafficContext& context);
 
   void OnRequest(HttpRequest request,
                  std::shared_ptr<Exchange> exchange) override;
@@ -29,6 +29,7 @@
 
   TrafficContext& context_;
   RunTable runs_;
+  EngineAdmission admission_;
 };
 
 }  // namespace mangoyoke
--- /dev/null
+++ b/src/gateway/traffic/load_reporter.cc
@@ -0,0 +1,137 @@
+// Load reports as MessagePack datagrams.
+
+#include "gateway/traffic/load_reporter.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "base/log.h"
+
+namespace mangoyoke {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration kTick = Millis(20);
+// Unchanged load is reported this often, so that it stays believed.
+constexpr Duration kRefresh = Millis(150);
+// Datagrams in one tick. With more entries, a change takes several ticks to
+// reach all of them.
+constexpr size_t kSendsPerTick = 16;
+
+}  // namespace
+
+LoadReporter::LoadReporter(TrafficContext& context, InstanceId self)
+    : context_(context), self_(std::move(self)), socket_(context.io) {}
+
+Result<Unit> LoadReporter::Start(const std::string& ip, uint16_t port) {
+  port_ = port;
+  boost::system::error_code error;
+  auto address = boost::asio::ip::make_address_v4(ip, error);
+  if (!error) {
+    socket_.open(Udp::v4(), error);
+  }
+  if (!error) {
+    socket_.bind(Udp::endpoint(address, port), error);
+  }
+  if (!error) {
+    socket_.non_blocking(true, error);
+  }
+  if (error) {
+    return Error{ErrorCode::kSettingsInvalid,
+                 ip + ": cannot receive load reports: " + error.message()};
+  }
+  Receive();
+  timer_ = std::make_unique<PeriodicTimer>(context_.io, kTick,
+                                           [this] { Tick(); });
+  return Unit{};
+}
+
+void LoadReporter::SetOthers(const std::vector<std::string>& ips) {
+  others_.clear();
+  for (const std::string& ip : ips) {
+    boost::system::error_code error;
+    auto address = boost::asio::ip::make_address_v4(ip, error);
+    if (!error) {
+      others_.emplace_back(address, port_);
+    }
+  }
+  unsent_ = static_cast<int>(others_.size());
+}
+
+void LoadReporter::Tick() {
+  TimePoint now = SteadyClock::now();
+  bool changed = context_.load.own() != reported_;
+  if (changed || now - last_round_ >= kRefresh) {
+    reported_ = context_.load.own();
+    unsent_ = static_cast<int>(others_.size());
+    last_round_ = now;
+  }
+  if (unsent_ == 0) {
+    return;
+  }
+  std::vector<uint8_t> report = MakeReport(now);
+  for (size_t i = 0; i < kSendsPerTick && unsent_ > 0; ++i, --unsent_) {
+    next_other_ = (next_other_ + 1) % others_.size();
+    boost::system::error_code error;
+    socket_.send_to(boost::asio::buffer(report), others_[next_other_], 0,
+                    error);
+    if (error) {
+      context_.metrics.Count("mangoyoke_load_reports_unsent_total");
+    }
+  }
+}
+
+std::vector<uint8_t> LoadReporter::MakeReport(TimePoint now) {
+  Json servers = Json::object();
+  for (const auto& [id, load] : reported_) {
+    servers[id] =
+        Json::array({load.requests, load.prompt_tokens, load.kv_tokens});
+  }
+  Json repeats = Json::object();
+  for (const auto& [service, counts] : context_.budget.Own(now)) {
+    repeats[service] = Json::array({counts.requests, counts.repeats});
+  }
+  return Json::to_msgpack(Json::array({self_, servers, repeats}));
+}
+
+void LoadReporter::Receive() {
+  socket_.async_receive_from(
+      boost::asio::buffer(buffer_), sender_,
+      [this](const boost::system::error_code& error, size_t size) {
+        if (error == boost::asio::error::operation_aborted) {
+          return;
+        }
+        if (!error) {
+          Absorb(buffer_.data(), size);
+        }
+        Receive();
+      });
+}
+
+void LoadReporter::Absorb(const uint8_t* data, size_t size) {
+  Json report = Json::from_msgpack(data, data + size, true, false);
+  try {
+    TimePoint now = SteadyClock::now();
+    LoadByServer load;
+    for (const auto& [id, item] : report.at(1).items()) {
+      load[id] = LoadCharge{item.at(0).get<int64_t>(),
+                            item.at(1).get<int64_t>(),
+                            item.at(2).get<int64_t>()};
+    }
+    std::map<ServiceId, RepeatCounts> repeats;
+    for (const auto& [service, item] : report.at(2).items()) {
+      repeats[service] =
+          RepeatCounts{item.at(0).get<int64_t>(), item.at(1).get<int64_t>()};
+    }
+    InstanceId sender = report.at(0).get<std::string>();
+    context_.load.Report(sender, std::move(load), now);
+    context_.budget.Report(sender, std::move(repeats), now);
+  } catch (const Json::exception& exception) {
+    context_.metrics.Count("mangoyoke_load_reports_malformed_total");
+    LogEvent("load_report_malformed", LogLevel::kWarning)
+        .Field("why", exception.what());
+  }
+}
+
+}  // namespace mangoyoke
--- a/src/gateway/traffic/request_run.cc
+++ b/src/gateway/traffic/request_run.cc
@@ -16,6 +16,9 @@
 // from coming back together.
 constexpr double kRetryAfterMs = 120;
 constexpr double kRetrySpreadMs = 200;
+// While engines are full, callers come back when a crest may be over.
+constexpr double kOverloadRetryMs = 1500;
+constexpr double kOverloadSpreadMs = 2500;
 
 }  // namespace
 
@@ -100,7 +103,10 @@
   const ErrorInfo& info = InfoOf(code);
   std::optional<Duration> retry_after;
   if (info.execution == Execution::kNotRun) {
-    retry_after = FromMillis(kRetryAfterMs + kRetrySpreadMs * context_.Random());
+    bool overload = code == ErrorCode::kDeadlineExpired;
+    double first = overload ? kOverloadRetryMs : kRetryAfterMs;
+    double spread = overload ? kOverloadSpreadMs : kRetrySpreadMs;
+    retry_after = FromMillis(first + spread * context_.Random());
   }
   context_.metrics.Count("mangoyoke_refusals_total", "reason", info.name);
   attempt_.reset();
@@ -225,8 +231,12 @@
   if (evidence == ServerEvidence::kGood) {
     return;
   }
+  LoadCharge load = context_.load.At(server.id, SteadyClock::now());
   LogEvent("send_failed")
       .Field("request", input_.facts.id)
+      .Field("known_requests", load.requests)
+      .Field("known_prompt_tokens", load.prompt_tokens)
+      .Field("known_kv_tokens", load.kv_tokens)
       .Field("server", server.id)
       .Field("stage", StageName(server.stage))
       .Field("evidence", EvidenceName(evidence))
--- a/src/gateway/traffic/traffic_context.cc
+++ b/src/gateway/traffic/traffic_context.cc
@@ -37,23 +37,40 @@
 
 TrafficContext::~TrafficContext() = default;
 
-void ReleaseHandle(TrafficContext& context, const PrefillHandle& handle) {
+namespace {
+
+// Sends `request` to a server; the answer is not looked at.
+void SendInBackground(TrafficContext& context,
+                      const BackendId& server_id,
+                      const std::string& address,
+                      HttpRequest request) {
   uint64_t id = context.next_background++;
   BackendServer server;
-  server.id = handle.server;
-  server.address = handle.address;
-  auto attempt =
-      std::make_unique<ServerAttempt>(context, server, LoadCharge{});
+  server.id = server_id;
+  server.address = address;
   AttemptHandlers handlers;
   handlers.on_end = [&context, id](AttemptOutcome) {
     boost::asio::post(context.io,
                       [&context, id] { context.background.erase(id); });
   };
+  auto attempt = std::make_unique<ServerAttempt>(context, server, LoadCharge{});
+  context.background.emplace(id, std::move(attempt))
+      .first->second->Start(std::move(request), "", false, kReleaseTimeout,
+                            std::move(handlers));
+}
+
+}  // namespace
+
+void ReleaseHandle(TrafficContext& context, const PrefillHandle& handle) {
   context.metrics.Count("mangoyoke_handles_released_total");
-  ServerAttempt& started =
-      *context.background.emplace(id, std::move(attempt)).first->second;
-  started.Start(context.backends.EncodeRelease(handle), "", false,
-                kReleaseTimeout, std::move(handlers));
+  SendInBackground(context, handle.server, handle.address,
+                   context.backends.EncodeRelease(handle));
+}
+
+void ReleaseRoom(TrafficContext& context, const RoomHold& hold) {
+  context.metrics.Count("mangoyoke_holds_released_total");
+  SendInBackground(context, hold.server, hold.address,
+                   context.backends.EncodeHoldDrop(hold));
 }
 
 }  // namespace mangoyoke
--- a/src/gateway/traffic/traffic_context.h
+++ b/src/gateway/traffic/traffic_context.h
@@ -18,6 +18,7 @@
 
 namespace mangoyoke {
 
+class EngineAdmission;
 class ServerAttempt;
 
 struct TrafficContext {
@@ -46,6 +47,8 @@
   // Null until the first one is known.
   std::shared_ptr<const ServingConfig> config;
   std::shared_ptr<const ServerView> servers;
+  // Requests that wait for engines. Set by the front handler.
+  EngineAdmission* admission = nullptr;
   // Calls that no request waits for, by id.
   std::map<uint64_t, std::unique_ptr<ServerAttempt>> background;
   uint64_t next_background = 1;
@@ -53,6 +56,8 @@
 
 // Frees the memory behind `handle` without waiting for the answer.
 void ReleaseHandle(TrafficContext& context, const PrefillHandle& handle);
+// Gives reserved room back without waiting for the answer.
+void ReleaseRoom(TrafficContext& context, const RoomHold& hold);
 
 }  // namespace mangoyoke
 
