Write one last chunk for each stream

The end of each stream wrote the bytes after its last event, which are none, as a chunk of length zero, and then the last chunk: five stray bytes that met whoever asked at that moment. Ruled out: bytes of a backend server (ids are checked, the connection was a caller's).

An empty piece is not written. Tests: streams and the next answer over loopback (failed before), shapes of bad input, late extra answers, cut answers.

--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -216,6 +216,10 @@
 }
 
 void HttpSession::Write(std::string data) {
+  // An empty chunk would end the answer.
+  if (data.empty()) {
+    return;
+  }
   if (!chunked_) {
     Enqueue(std::move(data));
     return;
--- /dev/null
+++ b/tests/unit/gateway_http_test.cc
@@ -0,0 +1,288 @@
+// Connections of callers and to servers, byte for byte, over loopback.
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+#include <functional>
+#include <thread>
+
+#include "gateway/net/http_connection.h"
+#include "gateway/net/http_listener.h"
+#include "gateway/net/timed_exchange.h"
+
+namespace mangoyoke {
+namespace {
+
+constexpr int kPort = 18931;
+constexpr char kAddress[] = "127.0.0.1:18931";
+
+
+class TestHandler : public RequestHandler {
+ public:
+  std::function<void(const HttpRequest&, std::shared_ptr<Exchange>)> action;
+  CallerLimits limits;
+
+  void OnRequest(HttpRequest request,
+                 std::shared_ptr<Exchange> exchange) override {
+    action(request, std::move(exchange));
+  }
+  CallerLimits Limits() const override { return limits; }
+  HttpResponse OnBadRequest(const Error& error) const override {
+    return HttpResponse(static_cast<http::status>(InfoOf(error.code).http_status),
+                        11);
+  }
+};
+
+class ListenerTest : public ::testing::Test {
+ protected:
+  ListenerTest() : listener_(loop_io_, handler_) {
+    handler_.action = [](const HttpRequest& request,
+                         std::shared_ptr<Exchange> exchange) {
+      HttpResponse response(http::status::ok, 11);
+      response.body() = std::string(request.target());
+      exchange->Reply(std::move(response));
+    };
+  }
+
+  void SetUp() override {
+    ASSERT_TRUE(Ok(listener_.Listen(kAddress)));
+    thread_ = std::thread([this] { loop_io_.run(); });
+  }
+  void TearDown() override {
+    loop_io_.stop();
+    thread_.join();
+  }
+
+  // Sends `bytes` and returns all that comes until the connection closes.
+  std::string Exchanged(const std::string& bytes, bool half_close = false) {
+    boost::asio::io_context io;
+    Tcp::socket socket(io);
+    socket.connect(
+        Tcp::endpoint(boost::asio::ip::address_v4::loopback(), kPort));
+    boost::asio::write(socket, boost::asio::buffer(bytes));
+    if (half_close) {
+      socket.shutdown(Tcp::socket::shutdown_send);
+    }
+    std::string received;
+    boost::system::error_code error;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+    return received;
+  }
+
+  boost::asio::io_context loop_io_{1};
+  TestHandler handler_;
+  HttpListener listener_;
+  std::thread thread_;
+};
+
+size_t Occurrences(const std::string& text, const std::string& part) {
+  size_t count = 0;
+  for (size_t at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + part.size())) {
+    ++count;
+  }
+  return count;
+}
+
+TEST_F(ListenerTest, StreamHasOneLastChunkAndTheNextAnswerFollows) {
+  handler_.action = [](const HttpRequest&, std::shared_ptr<Exchange> exchange) {
+    http::response_header<> head;
+    head.result(200);
+    exchange->BeginStream(head);
+    exchange->Write("id: 1\ndata: a\n\n");
+    exchange->Write("");
+    exchange->EndStream();
+  };
+  std::string received = Exchanged(
+      "GET /one HTTP/1.1\r\nHost: h\r\n\r\n"
+      "GET /two HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  EXPECT_EQ(Occurrences(received, "0\r\n\r\n"), 2U) << received;
+  EXPECT_EQ(Occurrences(received, "HTTP/1.1 200 OK"), 2U) << received;
+}
+
+TEST_F(ListenerTest, TargetReachesTheHandlerAsSent) {
+  std::string received = Exchanged(
+      "GET /p?z=1&a=%20x&b=2&a=3&flag HTTP/1.1\r\nHost: h\r\n"
+      "Connection: close\r\n\r\n");
+  EXPECT_TRUE(received.ends_with("/p?z=1&a=%20x&b=2&a=3&flag")) << received;
+}
+
+struct BadInput {
+  const char* name;
+  const char* bytes;
+  const char* status;
+};
+
+class BadInputTest : public ListenerTest,
+                     public ::testing::WithParamInterface<BadInput> {};
+
+TEST_P(BadInputTest, IsRefusedAndCloses) {
+  handler_.limits.header_bytes = 200;
+  handler_.limits.body_bytes = 20;
+  int handled = 0;
+  handler_.action = [&handled](const HttpRequest&, auto exchange) {
+    ++handled;
+    exchange->Reply(HttpResponse(http::status::ok, 11));
+  };
+  std::string received = Exchanged(GetParam().bytes);
+  EXPECT_TRUE(received.starts_with(std::string("HTTP/1.1 ") +
+                                   GetParam().status))
+      << received;
+  EXPECT_EQ(handled, 0);
+}
+
+const BadInput kBadInputs[] = {
+    {"garbage", "\x16\x03\x01 nonsense\r\n\r\n", "400"},
+    {"two_lengths",
+     "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+     "Content-Length: 5\r\n\r\nabcde",
+     "400"},
+    {"length_and_chunked",
+     "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+     "400"},
+    {"negative_length",
+     "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -3\r\n\r\n", "400"},
+    {"bad_chunk",
+     "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "zz\r\nabc\r\n",
+     "400"},
+    {"long_body",
+     "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 21\r\n\r\n", "413"},
+    {"long_header",
+     "GET / HTTP/1.1\r\nHost: h\r\nX-Long: "
+     "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+     "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+     "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+     "\r\n\r\n",
+     "431"}};
+
+INSTANTIATE_TEST_SUITE_P(Shapes,
+                         BadInputTest,
+                         ::testing::ValuesIn(kBadInputs),
+                         [](const auto& info) { return info.param.name; });
+
+// A server that answers each connection's requests with the next script.
+class ScriptedServer {
+ public:
+  explicit ScriptedServer(std::deque<std::string> scripts)
+      : scripts_(std::move(scripts)),
+        acceptor_(io_,
+                  Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
+    thread_ = std::thread([this] { Serve(); });
+  }
+  ~ScriptedServer() {
+    thread_.join();
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+ private:
+  // One connection; a script that ends with "!" closes it.
+  void Serve() {
+    Tcp::socket socket(io_);
+    acceptor_.accept(socket);
+    std::string request;
+    boost::system::error_code error;
+    while (!error) {
+      char bytes[4096];
+      size_t size = socket.read_some(boost::asio::buffer(bytes), error);
+      request.append(bytes, size);
+      bool whole = request.find("\r\n\r\n") != std::string::npos;
+      if (!whole || scripts_.empty()) {
+        continue;
+      }
+      request.clear();
+      std::string script = scripts_.front();
+      scripts_.pop_front();
+      bool close = script.ends_with('!');
+      if (close) {
+        script.pop_back();
+      }
+      boost::asio::write(socket, boost::asio::buffer(script), error);
+      if (close) {
+        return;
+      }
+    }
+  }
+
+  std::deque<std::string> scripts_;
+  boost::asio::io_context io_;
+  Tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
+std::string Answer(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nId: " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+// Sends requests with the given ids one after another on pooled connections.
+std::vector<ExchangeOutcome> Send(const std::string& address,
+                                  const std::vector<std::string>& ids) {
+  boost::asio::io_context io;
+  ConnectionPool pool(io, [](const http::response_header<>& head) {
+    return std::string(head["Id"]);
+  });
+  std::vector<ExchangeOutcome> outcomes;
+  for (const std::string& id : ids) {
+    TimedExchange exchange(io, pool);
+    bool ended = false;
+    ExchangeHandlers handlers;
+    handlers.on_end = [&](ExchangeOutcome outcome) {
+      outcomes.push_back(std::move(outcome));
+      ended = true;
+    };
+    HttpRequest request(http::verb::get, "/", 11);
+    exchange.Start(address, std::move(request), id, false, Millis(500),
+                   std::move(handlers));
+    while (!ended) {
+      io.run_one();
+    }
+  }
+  return outcomes;
+}
+
+TEST(HttpConnectionTest, LateExtraAnswerIsSkipped) {
+  ScriptedServer server({Answer("a", "first"),
+                         Answer("a", "again") + Answer("b", "second") + "!"});
+  auto outcomes = Send(server.address(), {"a", "b"});
+  EXPECT_EQ(outcomes[0].body, "first");
+  EXPECT_EQ(outcomes[1].end, ExchangeEnd::kComplete);
+  EXPECT_EQ(outcomes[1].body, "second");
+}
+
+TEST(HttpConnectionTest, CutAnswerIsBroken) {
+  ScriptedServer server({"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\n"
+                         "cut!"});
+  auto outcomes = Send(server.address(), {"a"});
+  EXPECT_EQ(outcomes[0].end, ExchangeEnd::kBroken);
+}
+
+TEST(HttpConnectionTest, AnswerWithoutLengthEndsWithTheConnection) {
+  ScriptedServer server({"HTTP/1.1 200 OK\r\nId: a\r\n\r\nwhole!"});
+  auto outcomes = Send(server.address(), {"a"});
+  EXPECT_EQ(outcomes[0].end, ExchangeEnd::kComplete);
+  EXPECT_EQ(outcomes[0].body, "whole");
+}
+
+TEST(HttpConnectionTest, SilentServerTimesOut) {
+  ScriptedServer server({});
+  auto outcomes = Send(server.address(), {"a"});
+  EXPECT_TRUE(outcomes[0].timed_out);
+  EXPECT_EQ(outcomes[0].end, ExchangeEnd::kBroken);
+}
+
+TEST(HttpConnectionTest, RefusedConnectionIsNotSent) {
+  auto outcomes = Send("127.0.0.1:1", {"a"});
+  EXPECT_EQ(outcomes[0].end, ExchangeEnd::kNotSent);
+}
+
+}  // namespace
+}  // namespace mangoyoke
