--- a/src/gateway/core/placement.cc
+++ b/src/gateway/core/placement.cc
@@ -20,7 +20,7 @@
 // Memory is full: the request waits for others to end.
 constexpr double kFullMs = 2000;
 // Memory beyond this share is left for running requests to grow into.
-constexpr double kMemoryShare = 0.97;
+constexpr double kMemoryShare = 0.9;
 // Costs this close count as equal.
 constexpr double kNoiseMs = 3;
 
--- a/src/gateway/core/ports.h
+++ b/src/gateway/core/ports.h
@@ -37,7 +37,6 @@
   std::string model;           // Empty: not for a model.
   int64_t prompt_tokens = 0;
   int64_t max_output_tokens = 0;
-  std::optional<int64_t> expected_output_tokens;  // The caller's estimate.
   std::string resume_after;  // Last event the caller has; empty: from the start.
 
   bool operator==(const CallerRequest&) const = default;
