--- /dev/null
+++ b/tests/unit/platform_codec_test.cc
@@ -0,0 +1,301 @@
+// Every decoder and encoder of platform/, with good and bad input.
+
+#include <gtest/gtest.h>
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "gateway/settings.h"
+#include "platform/http_codec.h"
+#include "platform/names.h"
+#include "platform/store_codec.h"
+
+namespace mangoyoke::platform {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr uint32_t kFuzzSeed = 20261204;
+constexpr int kFuzzRounds = 20'000;
+
+std::string ToBase64(const std::string& text) {
+  using Encoder = boost::archive::iterators::base64_from_binary<
+      boost::archive::iterators::transform_width<const char*, 6, 8>>;
+  std::string encoded(Encoder(text.data()), Encoder(text.data() + text.size()));
+  return encoded.append((3 - text.size() % 3) % 3, '=');
+}
+
+const char kServerRow[] =
+    R"({"Service":"huvo11a","Address":"10.128.0.9:8080","Zone":"midlands-a",)"
+    R"("Version":"v1","Slots":64,"State":"ready","ColdRemainingMs":0,)"
+    R"("Stage":"decode","Models":[],"Seq":4,"born":17})";
+
+const char kConfigRow[] =
+    R"({"Version":7,"Routes":[{"Name":"r1","Host":"f.example","Prefix":"/p/",)"
+    R"("Kind":"streaming","TimeoutMs":14000,"TargetLatencyMs":900,)"
+    R"("Priority":1,"Service":"llm","MaxAttempts":2,"Resumable":true,)"
+    R"("TargetGapMs":300},{"Name":"r2","Host":"f.example","Prefix":"/q/",)"
+    R"("Kind":"non_idempotent","TimeoutMs":2000,"TargetLatencyMs":300,)"
+    R"("TrafficSplit":[{"Service":"a","Weight":90},)"
+    R"({"Service":"b","Weight":10}],"MaxAttempts":1}],)"
+    R"("Services":[{"Name":"llm","HealthPath":"/h","MaxConnections":370,)"
+    R"("Engine":{"Slots":64,"KvTokens":39418,"Stride":16,"KvTtlS":0.5,)"
+    R"("SwitchS":6.0,"HoldMs":2000.0}}],"Limits":{"MaxHeaderBytes":16384,)"
+    R"("MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
+
+TEST(StoreCodecTest, DecodesAConfiguration) {
+  PlatformStoreCodec codec;
+  auto decoded = codec.DecodeConfig(StoreRow{"config", kConfigRow});
+  ASSERT_TRUE(Ok(decoded));
+  const auto& config = std::get<ServingConfig>(decoded);
+  EXPECT_EQ(config.revision(), 7U);
+  const RouteRule* stream = config.Match("f.example", "/p/x");
+  ASSERT_NE(stream, nullptr);
+  EXPECT_EQ(stream->kind, RequestKind::kStreaming);
+  EXPECT_TRUE(stream->MayRepeat());
+  EXPECT_EQ(stream->timeout, Millis(14000));
+  EXPECT_EQ(stream->target_gap, Millis(300));
+  EXPECT_EQ(stream->max_servers, 2);
+  const RouteRule* split = config.Match("f.example", "/q/");
+  ASSERT_NE(split, nullptr);
+  EXPECT_FALSE(split->MayRepeat());
+  EXPECT_EQ(split->services.size(), 2U);
+  const ServiceRule* service = config.FindService("llm");
+  ASSERT_NE(service, nullptr);
+  EXPECT_EQ(service->engine->kv_tokens, 39418);
+  EXPECT_EQ(service->engine->event_tokens, 16);
+  EXPECT_EQ(service->engine->handle_life, Millis(500));
+  EXPECT_EQ(service->engine->hold_life, Millis(2000));
+}
+
+TEST(StoreCodecTest, OtherRowsAreNoConfiguration) {
+  PlatformStoreCodec codec;
+  EXPECT_FALSE(Ok(codec.DecodeConfig(StoreRow{"other", kConfigRow})));
+  EXPECT_FALSE(Ok(codec.DecodeConfig(StoreRow{"config", std::nullopt})));
+  EXPECT_FALSE(Ok(codec.DecodeConfig(StoreRow{"config", "{\"Version\":1}"})));
+  EXPECT_FALSE(Ok(codec.DecodeConfig(StoreRow{"config", "no json"})));
+}
+
+TEST(StoreCodecTest, DecodesAServer) {
+  auto server =
+      PlatformStoreCodec().DecodeServer(StoreRow{"i-1", kServerRow});
+  ASSERT_TRUE(server);
+  EXPECT_EQ(server->id, "i-1");
+  EXPECT_EQ(server->address, "10.128.0.9:8080");
+  EXPECT_EQ(server->stage, ServerStage::kDecode);
+  EXPECT_EQ(server->state, ServerState::kReady);
+  EXPECT_EQ(server->slots, 64);
+  EXPECT_EQ(server->born_ms, 17);
+}
+
+// A row from another writer names no server to use.
+TEST(StoreCodecTest, RowsWithWrongFieldsNameNoServer) {
+  PlatformStoreCodec codec;
+  for (const char* field :
+       {"Service", "Address", "Zone", "Version", "Slots", "State",
+        "ColdRemainingMs", "Seq"}) {
+    Json missing = Json::parse(kServerRow);
+    missing.erase(field);
+    EXPECT_FALSE(codec.DecodeServer(StoreRow{"i", missing.dump()})) << field;
+    Json wrong = Json::parse(kServerRow);
+    wrong[field] = Json::array({1});
+    EXPECT_FALSE(codec.DecodeServer(StoreRow{"i", wrong.dump()})) << field;
+  }
+  const std::pair<const char*, Json> values[] = {
+      {"State", "tired"},          {"Stage", "elsewhere"},
+      {"Slots", 1.5},              {"born", "yesterday"},
+      {"Address", "nowhere"},      {"Address", "10.0.0.1:99999"},
+      {"Address", "10.0.0.1:80x"}, {"Address", "::1:80"}};
+  for (const auto& [field, value] : values) {
+    Json wrong = Json::parse(kServerRow);
+    wrong[field] = value;
+    EXPECT_FALSE(codec.DecodeServer(StoreRow{"i", wrong.dump()}))
+        << wrong.dump();
+  }
+}
+
+TEST(StoreCodecTest, DecodesRowsAndRemovals) {
+  std::string body =
+      R"({"Rows":[{"Table":"t","part":"","Key":"a","Value":")" +
+      ToBase64("hello") +
+      R"(","SchemaVersion":4},{"Key":"b","Removed":true}],)"
+      R"("HasMore":true,"SchemaVersion":9,"NowMs":1})";
+  auto decoded = PlatformStoreCodec().DecodeRows(body);
+  ASSERT_TRUE(Ok(decoded));
+  const auto& rows = std::get<StoreRows>(decoded);
+  EXPECT_EQ(rows.version, 9U);
+  EXPECT_TRUE(rows.more);
+  ASSERT_EQ(rows.rows.size(), 2U);
+  EXPECT_EQ(rows.rows[0].value, "hello");
+  EXPECT_FALSE(rows.rows[1].value);
+  EXPECT_FALSE(Ok(PlatformStoreCodec().DecodeRows("{}")));
+}
+
+TEST(StoreCodecTest, ReadsGoOnAfterAKeyOfAnyBytes) {
+  HttpRequest request =
+      PlatformStoreCodec().EncodeRead("servers", std::string("a b&\0", 5));
+  EXPECT_EQ(request.target(),
+            "/v1/rows-get?Table=servers&part=&From=a%20b%26%00");
+}
+
+// Mutated rows are decoded or refused, never anything else.
+TEST(StoreCodecTest, MutatedRowsNeverBreakTheDecoder) {
+  PlatformStoreCodec codec;
+  std::mt19937 random(kFuzzSeed);
+  const std::string seeds[] = {kServerRow, kConfigRow};
+  for (int round = 0; round < kFuzzRounds; ++round) {
+    std::string text = seeds[round % 2];
+    for (uint32_t i = 0; i < 1 + random() % 3; ++i) {
+      size_t at = random() % text.size();
+      switch (random() % 3) {
+        case 0:
+          text[at] = static_cast<char>(random());
+          break;
+        case 1:
+          text.erase(at, 1 + random() % 9);
+          break;
+        default:
+          text.insert(at, text.substr(random() % text.size(), 7));
+      }
+    }
+    codec.DecodeServer(StoreRow{"i", text});
+    codec.DecodeConfig(StoreRow{"config", text});
+    codec.DecodeRows(text);
+  }
+}
+
+HttpRequest CallersRequest() {
+  HttpRequest request(http::verb::post, "/p/x?b=2&a=1&flag", 11);
+  request.set(http::field::host, "f.example");
+  request.set(kRequestId, "9c41");
+  request.set(kDeadline, "14000");
+  request.set(kTokenCounts, "1460,80");
+  request.set(kModel, "m");
+  request.insert("X-Twice", "1");
+  request.insert("X-Twice", "2");
+  request.set(http::field::connection, "keep-alive, X-Private");
+  request.set("X-Private", "hop");
+  for (const char* name : {kExpectInstance, kServingStage, kKvSource, kKvHold,
+                           kKvBackup, kPin, kPriority, kKvFetch}) {
+    request.set(name, "forged");
+  }
+  request.body() = "hello";
+  return request;
+}
+
+TEST(HttpCodecTest, DecodesACallersRequest) {
+  CallerRequest facts = PlatformCallerCodec().DecodeRequest(CallersRequest());
+  EXPECT_EQ(facts.id, "9c41");
+  EXPECT_EQ(facts.path, "/p/x");
+  EXPECT_EQ(facts.target, "/p/x?b=2&a=1&flag");
+  EXPECT_EQ(facts.wait, Millis(14000));
+  EXPECT_EQ(facts.prompt_tokens, 1460);
+  EXPECT_EQ(facts.max_output_tokens, 80);
+}
+
+TEST(HttpCodecTest, UnreadableNumbersAreAbsent) {
+  HttpRequest request = CallersRequest();
+  request.set(kDeadline, "12x");
+  request.set(kTokenCounts, ",");
+  CallerRequest facts = PlatformCallerCodec().DecodeRequest(request);
+  EXPECT_FALSE(facts.wait);
+  EXPECT_EQ(facts.prompt_tokens, 0);
+}
+
+TEST(HttpCodecTest, CallersCannotSetSystemHeaders) {
+  BackendServer server;
+  server.id = "i-1";
+  BackendCall call;
+  call.server = &server;
+  call.time_left = Millis(1234);
+  HttpRequest sent =
+      PlatformBackendCodec().EncodeCall(CallersRequest(), {}, call);
+  EXPECT_EQ(sent[kExpectInstance], "i-1");
+  EXPECT_EQ(sent[kDeadline], "1234");
+  for (const char* name : {kServingStage, kKvSource, kKvHold, kKvBackup, kPin,
+                           kPriority, kKvFetch, "X-Private"}) {
+    EXPECT_EQ(sent.count(name), 0U) << name;
+  }
+  EXPECT_EQ(sent.count(http::field::connection), 0U);
+  EXPECT_EQ(sent.count("X-Twice"), 2U);
+  EXPECT_EQ(sent.target(), "/p/x?b=2&a=1&flag");
+  EXPECT_EQ(sent.body(), "hello");
+}
+
+TEST(HttpCodecTest, HandleAndRoomAreNamed) {
+  BackendServer server;
+  server.id = "i-1";
+  BackendCall call;
+  call.server = &server;
+  call.kv = PrefillHandle{"i-2", "10.1.64.9:8080", "3fa0", 1460};
+  call.room = RoomHold{"i-1", "10.1.64.8:8080", "h7"};
+  call.resume_after = "12";
+  HttpRequest sent =
+      PlatformBackendCodec().EncodeCall(CallersRequest(), {}, call);
+  EXPECT_EQ(sent[kKvSource], "10.1.64.9:8080/3fa0");
+  EXPECT_EQ(sent[kKvHold], "h7");
+  EXPECT_EQ(sent[kLastEventId], "12");
+}
+
+// 408, 421, 429 and 503 promise callers that a request did not run.
+TEST(HttpCodecTest, OnlyWhatDidNotRunIsRefusedWithAPromise) {
+  PlatformCallerCodec codec;
+  for (const ErrorInfo& info : ErrorTable()) {
+    unsigned status =
+        codec.EncodeRefusal(Error{info.code, ""}, std::nullopt).result_int();
+    bool promise =
+        status == 408 || status == 421 || status == 429 || status == 503;
+    if (info.execution == Execution::kUnknown) {
+      EXPECT_FALSE(promise) << info.name;
+    }
+  }
+  HttpResponse refusal =
+      codec.EncodeRefusal(Error{ErrorCode::kNoBackend, "x"}, Millis(1250));
+  EXPECT_EQ(refusal.result_int(), 503U);
+  EXPECT_EQ(refusal[http::field::retry_after], "1.250");
+}
+
+TEST(HttpCodecTest, AnswersSayWhetherTheyRan) {
+  PlatformBackendCodec codec;
+  http::response_header<> head;
+  head.result(503);
+  EXPECT_FALSE(codec.DecodeAnswer(head).not_run);
+  head.set(kNotExecuted, "1");
+  EXPECT_TRUE(codec.DecodeAnswer(head).not_run);
+  http::response_header<> misdirected;
+  misdirected.result(421);
+  EXPECT_TRUE(codec.DecodeAnswer(misdirected).not_run);
+}
+
+TEST(HttpCodecTest, PrefillAndHoldAnswers) {
+  PlatformBackendCodec codec;
+  BackendServer server;
+  server.id = "i-1";
+  server.address = "10.0.0.1:1";
+  auto handle =
+      codec.DecodePrefill(server, R"({"Handle":"h","Tokens":5,"Version":1})");
+  ASSERT_TRUE(Ok(handle));
+  EXPECT_EQ(std::get<PrefillHandle>(handle).tokens, 5);
+  EXPECT_FALSE(Ok(codec.DecodePrefill(server, R"({"Handle":7})")));
+  EXPECT_FALSE(Ok(codec.DecodePrefill(server, "cut")));
+  EXPECT_TRUE(Ok(codec.DecodeHold(server, R"({"Hold":"r"})")));
+  EXPECT_FALSE(Ok(codec.DecodeHold(server, "{}")));
+}
+
+TEST(GatewaySettingsTest, WrongValuesAreNamedByLine) {
+  auto wrong = ParseGatewaySettings(
+      "[instance]\nid = a\nzone = z\n[listen]\ncallers = 127.0.0.1:1\n"
+      "load_port = many\n[store]\naddress = 127.0.0.1:2\n[repeats]\n"
+      "share = much\n[else]\n",
+      "f.ini");
+  ASSERT_FALSE(Ok(wrong));
+  std::string why = std::get<Error>(wrong).detail;
+  EXPECT_NE(why.find("f.ini:6"), std::string::npos) << why;
+  EXPECT_NE(why.find("share"), std::string::npos) << why;
+  EXPECT_NE(why.find("[else]"), std::string::npos) << why;
+}
+
+}  // namespace
+}  // namespace mangoyoke::platform
