--- /dev/null
+++ b/tests/unit/gateway_run_test.cc
@@ -0,0 +1,427 @@
+// Requests from a caller's socket through the gateway to backend servers and
+// back, with servers that fail in every way that matters.
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <atomic>
+#include <functional>
+#include <future>
+#include <thread>
+
+#include "gateway/net/http_listener.h"
+#include "gateway/traffic/front_handler.h"
+#include "platform/http_codec.h"
+#include "platform/names.h"
+
+namespace mangoyoke {
+namespace {
+
+using platform::kKvSource;
+using platform::kLastEventId;
+using platform::kNotExecuted;
+using platform::kRequestId;
+using platform::kServingStage;
+using platform::kStamp;
+
+constexpr char kFront[] = "127.0.0.1:18940";
+constexpr int kFrontPort = 18940;
+constexpr int kFirstServerPort = 18941;
+
+// A backend server that does what the test says and counts what reached it.
+class FakeServer : public RequestHandler {
+ public:
+  using Action =
+      std::function<void(const HttpRequest&, std::shared_ptr<Exchange>)>;
+
+  FakeServer(boost::asio::io_context& io, BackendServer record, Action action)
+      : record_(std::move(record)),
+        action_(std::move(action)),
+        listener_(io, *this) {
+    EXPECT_TRUE(Ok(listener_.Listen(record_.address)));
+  }
+
+  void OnRequest(HttpRequest request,
+                 std::shared_ptr<Exchange> exchange) override {
+    ++requests_;
+    if (request.method() == http::verb::delete_) {
+      ++released_;
+      exchange->Reply(HttpResponse(http::status::ok, 11));
+      return;
+    }
+    action_(request, std::move(exchange));
+  }
+  CallerLimits Limits() const override { return CallerLimits{}; }
+  HttpResponse OnBadRequest(const Error&) const override {
+    return HttpResponse(http::status::bad_request, 11);
+  }
+
+  const BackendServer& record() const { return record_; }
+  int requests() const { return requests_; }
+  int released() const { return released_; }
+
+ private:
+  BackendServer record_;
+  Action action_;
+  HttpListener listener_;
+  std::atomic<int> requests_{0};
+  std::atomic<int> released_{0};
+};
+
+HttpResponse StampedAnswer(const HttpRequest& request,
+                           http::status status,
+                           const std::string& body) {
+  HttpResponse response(status, 11);
+  response.set(kRequestId, request[kRequestId]);
+  response.set(kStamp, "stamp");
+  response.body() = body;
+  return response;
+}
+
+FakeServer::Action Answers(http::status status, const std::string& body) {
+  return [status, body](const HttpRequest& request, auto exchange) {
+    exchange->Reply(StampedAnswer(request, status, body));
+  };
+}
+
+FakeServer::Action Rejects() {
+  return [](const HttpRequest& request, auto exchange) {
+    HttpResponse response =
+        StampedAnswer(request, http::status::service_unavailable, "");
+    response.set(kNotExecuted, "1");
+    exchange->Reply(std::move(response));
+  };
+}
+
+FakeServer::Action Resets() {
+  return [](const HttpRequest&, auto exchange) { exchange->Abort(); };
+}
+
+FakeServer::Action Silent() {
+  // Keeps the exchange, so that the connection stays open.
+  auto kept = std::make_shared<std::vector<std::shared_ptr<Exchange>>>();
+  return [kept](const HttpRequest&, auto exchange) {
+    kept->push_back(exchange);
+  };
+}
+
+FakeServer::Action Reads(const std::string& handle) {
+  return Answers(http::status::ok,
+                 R"({"Handle":")" + handle + R"(","Tokens":9,"Version":1})");
+}
+
+// Streams events from `first` to `last`; cuts the stream unless `whole`.
+FakeServer::Action Streams(boost::asio::io_context& io,
+                           int first,
+                           int last,
+                           bool whole) {
+  return [&io, first, last, whole](const HttpRequest& request, auto exchange) {
+    http::response_header<> head;
+    head.result(200);
+    head.set(kRequestId, request[kRequestId]);
+    head.set(kStamp, "stamp");
+    head.set(http::field::content_type, "text/event-stream");
+    exchange->BeginStream(head);
+    for (int id = first; id <= last; ++id) {
+      exchange->Write("id: " + std::to_string(id) + "\ndata: t\n\n");
+    }
+    if (whole) {
+      exchange->EndStream();
+      return;
+    }
+    exchange->Write("id: 99\nda");
+    // The bytes leave before the connection closes.
+    auto timer = std::make_shared<boost::asio::steady_timer>(io, Millis(30));
+    timer->async_wait([timer, exchange](const boost::system::error_code&) {
+      exchange->Abort();
+    });
+  };
+}
+
+class RunTest : public ::testing::Test {
+ protected:
+  RunTest()
+      : context_(io_, callers_, backends_, metrics_, RepeatBudgetOptions{}),
+        handler_(context_),
+        front_(io_, handler_) {}
+
+  ~RunTest() override {
+    if (thread_.joinable()) {
+      io_.stop();
+      thread_.join();
+    }
+  }
+
+  FakeServer& AddServer(ServerStage stage, FakeServer::Action action) {
+    BackendServer record;
+    record.id = "server-" + std::to_string(servers_.size());
+    record.service = "s";
+    record.zone = "z";
+    record.address =
+        "127.0.0.1:" +
+        std::to_string(kFirstServerPort + static_cast<int>(servers_.size()));
+    record.slots = 4;
+    record.stage = stage;
+    servers_.push_back(
+        std::make_unique<FakeServer>(io_, record, std::move(action)));
+    return *servers_.back();
+  }
+
+  void Serve(RequestKind kind, bool resumable, int max_servers) {
+    RouteRule route;
+    route.id = "r";
+    route.host = "h";
+    route.prefix = "/";
+    route.kind = kind;
+    route.timeout = Millis(1500);
+    route.target_latency = Millis(400);
+    route.target_gap = Millis(100);
+    route.max_servers = max_servers;
+    route.resumable = resumable;
+    route.services = {{"s", 1}};
+    context_.config = std::make_shared<ServingConfig>(
+        1, std::vector<RouteRule>{route}, std::vector<ServiceRule>{{"s"}},
+        CallerLimits{});
+    ServerView view;
+    for (const auto& server : servers_) {
+      view.servers[server->record().id] = server->record();
+    }
+    context_.servers = std::make_shared<ServerView>(view);
+    ASSERT_TRUE(Ok(front_.Listen(kFront)));
+    thread_ = std::thread([this] { io_.run(); });
+  }
+
+  // Sends one request and returns all that comes back.
+  std::string Ask(const std::string& method = "POST") {
+    boost::asio::io_context io;
+    Tcp::socket socket(io);
+    socket.connect(
+        Tcp::endpoint(boost::asio::ip::address_v4::loopback(), kFrontPort));
+    std::string request = method +
+                          " /x HTTP/1.1\r\nHost: h\r\n"
+                          "X-Mangoyoke-Request-Id: id-1\r\n"
+                          "X-Mangoyoke-Token-Counts: 900,100\r\n"
+                          "Connection: close\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(request));
+    std::string received;
+    boost::system::error_code error;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+    return received;
+  }
+
+  size_t OpenRuns() {
+    std::promise<size_t> open;
+    boost::asio::post(io_, [&] { open.set_value(handler_.open()); });
+    return open.get_future().get();
+  }
+
+  boost::asio::io_context io_{1};
+  platform::PlatformCallerCodec callers_;
+  platform::PlatformBackendCodec backends_;
+  Metrics metrics_;
+  TrafficContext context_;
+  FrontHandler handler_;
+  HttpListener front_;
+  std::vector<std::unique_ptr<FakeServer>> servers_;
+  std::thread thread_;
+};
+
+bool HasStatus(const std::string& answer, int status) {
+  return answer.starts_with("HTTP/1.1 " + std::to_string(status));
+}
+
+TEST_F(RunTest, NonIdempotentRequestIsNeverSentAgainAfterAReset) {
+  AddServer(ServerStage::kWhole, Resets());
+  AddServer(ServerStage::kWhole, Resets());
+  Serve(RequestKind::kNonIdempotent, false, 2);
+  std::string answer = Ask();
+  EXPECT_TRUE(HasStatus(answer, 502)) << answer;
+  EXPECT_EQ(answer.find("stamp"), std::string::npos);
+  EXPECT_EQ(servers_[0]->requests() + servers_[1]->requests(), 1);
+}
+
+TEST_F(RunTest, NonIdempotentRequestThatAServerRejectedGoesToAnother) {
+  AddServer(ServerStage::kWhole, Rejects());
+  AddServer(ServerStage::kWhole, Answers(http::status::ok, "done"));
+  Serve(RequestKind::kNonIdempotent, false, 1);
+  for (int i = 0; i < 8; ++i) {
+    std::string answer = Ask();
+    EXPECT_TRUE(HasStatus(answer, 200)) << answer;
+    EXPECT_TRUE(answer.ends_with("done"));
+  }
+}
+
+TEST_F(RunTest, RefusalIsAPromiseOnlyWhenNothingRan) {
+  AddServer(ServerStage::kWhole, Rejects());
+  Serve(RequestKind::kNonIdempotent, false, 1);
+  std::string answer = Ask();
+  EXPECT_TRUE(HasStatus(answer, 503)) << answer;
+  EXPECT_NE(answer.find("Retry-After"), std::string::npos);
+}
+
+TEST_F(RunTest, ServersOwn503WithoutAPromiseBecomesA502) {
+  AddServer(ServerStage::kWhole,
+            Answers(http::status::service_unavailable, "failed"));
+  Serve(RequestKind::kNonIdempotent, false, 1);
+  std::string answer = Ask();
+  EXPECT_TRUE(HasStatus(answer, 502)) << answer;
+  EXPECT_EQ(answer.find("stamp"), std::string::npos);
+}
+
+TEST_F(RunTest, IdempotentRequestIsSentToAnotherServerAfterAFailure) {
+  AddServer(ServerStage::kWhole, Resets());
+  AddServer(ServerStage::kWhole, Answers(http::status::ok, "done"));
+  Serve(RequestKind::kIdempotent, false, 2);
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_TRUE(HasStatus(Ask("GET"), 200));
+  }
+}
+
+TEST_F(RunTest, IdempotentRequestRunsOnNoMoreServersThanAllowed) {
+  for (int i = 0; i < 4; ++i) {
+    AddServer(ServerStage::kWhole, Answers(http::status::bad_gateway, "no"));
+  }
+  Serve(RequestKind::kIdempotent, false, 2);
+  EXPECT_TRUE(HasStatus(Ask("GET"), 502));
+  int sends = 0;
+  for (const auto& server : servers_) {
+    sends += server->requests();
+  }
+  EXPECT_EQ(sends, 2);
+}
+
+TEST_F(RunTest, SilentServerEndsWithTheRoutesTimeout) {
+  AddServer(ServerStage::kWhole, Silent());
+  Serve(RequestKind::kNonIdempotent, false, 1);
+  TimePoint start = SteadyClock::now();
+  EXPECT_TRUE(HasStatus(Ask(), 504));
+  EXPECT_LT(SteadyClock::now() - start, Millis(1900));
+  EXPECT_EQ(OpenRuns(), 0U);
+}
+
+TEST_F(RunTest, UnreachableServerCostsNothing) {
+  AddServer(ServerStage::kWhole, Answers(http::status::ok, "done"));
+  Serve(RequestKind::kNonIdempotent, false, 1);
+  std::promise<void> added;
+  boost::asio::post(io_, [&] {
+    ServerView view = *context_.servers;
+    BackendServer gone;
+    gone.id = "gone";
+    gone.service = "s";
+    gone.address = "127.0.0.1:1";
+    gone.slots = 1000;  // The more attractive one.
+    view.servers["gone"] = gone;
+    context_.servers = std::make_shared<ServerView>(view);
+    added.set_value();
+  });
+  added.get_future().wait();
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_TRUE(HasStatus(Ask(), 200));
+  }
+}
+
+TEST_F(RunTest, StreamPassesThroughPrefillAndDecode) {
+  AddServer(ServerStage::kPrefill, Reads("h1"));
+  AddServer(ServerStage::kDecode, Streams(io_, 1, 3, true));
+  Serve(RequestKind::kStreaming, false, 1);
+  std::string answer = Ask();
+  EXPECT_TRUE(HasStatus(answer, 200)) << answer;
+  EXPECT_NE(answer.find("id: 3\ndata: t\n\n"), std::string::npos);
+  EXPECT_TRUE(answer.ends_with("0\r\n\r\n")) << answer;
+}
+
+TEST_F(RunTest, CutStreamDoesNotLookCompleteAndIsNotRepeated) {
+  AddServer(ServerStage::kPrefill, Reads("h1"));
+  AddServer(ServerStage::kDecode, Streams(io_, 1, 2, false));
+  AddServer(ServerStage::kDecode, Streams(io_, 1, 2, false));
+  Serve(RequestKind::kStreaming, false, 1);
+  std::string answer = Ask();
+  EXPECT_FALSE(answer.ends_with("0\r\n\r\n")) << answer;
+  EXPECT_EQ(answer.find("id: 99"), std::string::npos);
+  EXPECT_EQ(servers_[1]->requests() + servers_[2]->requests(), 1);
+}
+
+TEST_F(RunTest, ResumableStreamGoesOnAfterTheLastWholeEvent) {
+  AddServer(ServerStage::kPrefill, Reads("h1"));
+  std::atomic<int> decodes{0};
+  FakeServer::Action decode = [this, &decodes](const HttpRequest& request,
+                                               auto exchange) {
+    EXPECT_EQ(request[kKvSource], "127.0.0.1:18941/h1");
+    if (decodes++ == 0) {
+      EXPECT_EQ(request.count(kLastEventId), 0U);
+      Streams(io_, 1, 2, false)(request, exchange);
+    } else {
+      EXPECT_EQ(request[kLastEventId], "2");
+      Streams(io_, 3, 4, true)(request, exchange);
+    }
+  };
+  AddServer(ServerStage::kDecode, decode);
+  AddServer(ServerStage::kDecode, decode);
+  Serve(RequestKind::kStreaming, true, 2);
+  std::string answer = Ask();
+  EXPECT_TRUE(answer.ends_with("0\r\n\r\n")) << answer;
+  for (int id = 1; id <= 4; ++id) {
+    EXPECT_NE(answer.find("id: " + std::to_string(id) + "\n"),
+              std::string::npos)
+        << answer;
+  }
+  EXPECT_EQ(answer.find("id: 99"), std::string::npos);
+  EXPECT_EQ(decodes, 2);
+}
+
+TEST_F(RunTest, PrefillThatFailsIsRepeatedElsewhere) {
+  AddServer(ServerStage::kPrefill, Resets());
+  AddServer(ServerStage::kPrefill, Reads("h2"));
+  AddServer(ServerStage::kDecode, Streams(io_, 1, 1, true));
+  Serve(RequestKind::kStreaming, false, 1);
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_TRUE(HasStatus(Ask(), 200));
+  }
+}
+
+TEST_F(RunTest, PrefillIsReleasedWhenTheCallerLeaves) {
+  AddServer(ServerStage::kPrefill, Reads("h1"));
+  AddServer(ServerStage::kDecode, Rejects());
+  Serve(RequestKind::kStreaming, false, 1);
+  EXPECT_TRUE(HasStatus(Ask(), 503));
+  for (int i = 0; i < 100 && servers_[0]->released() == 0; ++i) {
+    std::this_thread::sleep_for(Millis(10));
+  }
+  EXPECT_EQ(servers_[0]->released(), 1);
+}
+
+TEST_F(RunTest, CallerThatLeavesEndsTheStreamsWork) {
+  std::atomic<bool> left{false};
+  AddServer(ServerStage::kPrefill, Reads("h1"));
+  AddServer(ServerStage::kDecode, [&](const HttpRequest&, auto exchange) {
+    exchange->OnCallerGone([&left] { left = true; });
+    static std::shared_ptr<Exchange> kept;
+    kept = exchange;
+  });
+  Serve(RequestKind::kStreaming, false, 1);
+  {
+    boost::asio::io_context io;
+    Tcp::socket socket(io);
+    socket.connect(
+        Tcp::endpoint(boost::asio::ip::address_v4::loopback(), kFrontPort));
+    boost::asio::write(
+        socket, boost::asio::buffer(std::string(
+                    "POST /x HTTP/1.1\r\nHost: h\r\n"
+                    "X-Mangoyoke-Request-Id: id-1\r\n"
+                    "X-Mangoyoke-Token-Counts: 900,100\r\n\r\n")));
+    for (int i = 0; i < 100 && servers_[1]->requests() == 0; ++i) {
+      std::this_thread::sleep_for(Millis(10));
+    }
+  }
+  for (int i = 0; i < 50 && !left; ++i) {
+    std::this_thread::sleep_for(Millis(10));
+  }
+  EXPECT_TRUE(left);
+}
+
+}  // namespace
+}  // namespace mangoyoke
