--- a/src/gateway/core/repeat_budget.cc
+++ b/src/gateway/core/repeat_budget.cc
@@ -14,6 +14,27 @@
 
 }  // namespace
 
+void RepeatBudget::SetEntries(size_t entries, TimePoint now) {
+  while (entries_.size() > 1 && now - entries_[1].first > options_.window) {
+    entries_.pop_front();
+  }
+  entries_.emplace_back(now, entries);
+}
+
+// The most entries of the last window.
+size_t RepeatBudget::Entries(TimePoint now) const {
+  size_t most = 1;
+  for (size_t i = 0; i < entries_.size(); ++i) {
+    // A count holds until the next one came.
+    bool held = i + 1 == entries_.size() ||
+                now - entries_[i + 1].first <= options_.window;
+    if (held) {
+      most = std::max(most, entries_[i].second);
+    }
+  }
+  return most;
+}
+
 void RepeatBudget::Expire(History& history, TimePoint now) const {
   for (auto* times : {&history.requests, &history.repeats}) {
     while (!times->empty() && now - times->front() > options_.window) {
@@ -34,7 +55,7 @@
   double own_limit =
       kOwnPart *
       (options_.share * static_cast<double>(history.requests.size()) +
-       options_.fixed / static_cast<double>(std::max<size_t>(entries_, 1)));
+       options_.fixed / static_cast<double>(Entries(now)));
   bool own_allows =
       static_cast<double>(history.repeats.size()) + 1 <= own_limit;
   if (!own_allows && !CommonAllows(service, history, now)) {
@@ -48,23 +69,26 @@
                                 const History& own,
                                 TimePoint now) const {
   size_t heard = 1;
+  size_t current = entries_.empty() ? 1 : entries_.back().second;
   RepeatCounts sum{static_cast<int64_t>(own.requests.size()),
                    static_cast<int64_t>(own.repeats.size())};
   for (const auto& [entry, report] : reports_) {
-    if (now - report.at > options_.report_life) {
+    if (now - report.at > options_.window) {
       continue;
     }
-    ++heard;
+    bool fresh = now - report.at <= options_.report_life;
+    heard += fresh ? 1 : 0;
     if (auto found = report.counts.find(service);
         found != report.counts.end()) {
-      sum.requests += found->second.requests;
+      // What an entry used before it went still counts; its requests may not.
+      sum.requests += fresh ? found->second.requests : 0;
       sum.repeats += found->second.repeats;
     }
   }
   double limit =
       kCommonPart * (options_.share * static_cast<double>(sum.requests) +
                      options_.fixed);
-  return heard >= entries_ && static_cast<double>(sum.repeats) + 1 <= limit;
+  return heard >= current && static_cast<double>(sum.repeats) + 1 <= limit;
 }
 
 void RepeatBudget::Report(const InstanceId& entry,
--- a/src/gateway/core/repeat_budget.h
+++ b/src/gateway/core/repeat_budget.h
@@ -39,8 +39,9 @@
   explicit RepeatBudget(RepeatBudgetOptions options) : options_(options) {}
 
   void SetOptions(RepeatBudgetOptions options) { options_ = options; }
-  // How many entries share the budget, this one included.
-  void SetEntries(size_t entries) { entries_ = entries; }
+  // How many entries share the budget now, this one included. Those that went
+  // count for another window, since what they used still does.
+  void SetEntries(size_t entries, TimePoint now);
   void NoteRequest(const ServiceId& service, TimePoint now);
   // Takes one repeat, if there is one.
   bool TryRepeat(const ServiceId& service, TimePoint now);
@@ -68,7 +69,9 @@
                     TimePoint now) const;
 
   RepeatBudgetOptions options_;
-  size_t entries_ = 1;
+  size_t Entries(TimePoint now) const;
+
+  std::deque<std::pair<TimePoint, size_t>> entries_;  // Counts, as they came.
   std::map<ServiceId, History> own_;
   std::map<InstanceId, Reported> reports_;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -243,7 +243,7 @@
   }
   // The IPs of the other entries.
   void SetOthers(const std::vector<std::string>& ips) {
-    context_.budget.SetEntries(ips.size() + 1);
+    context_.budget.SetEntries(ips.size() + 1, SteadyClock::now());
     reporter_.SetOthers(ips);
   }
   void SetBudget(const RepeatBudgetOptions& options) {
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -88,8 +88,6 @@
         Seconds(reader.Number("entries_ttl_s", 5, 1, kMaxSeconds));
     settings_.leave_limit =
         Seconds(reader.Number("leave_limit_s", 8, 1, kMaxSeconds));
-    settings_.server_leave_limit =
-        Millis(reader.Number("server_leave_ms", 2000, 1, kMaxMillis));
     settings_.server_return_time =
         Millis(reader.Number("server_return_ms", 2000, 1, kMaxMillis));
   }
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -34,7 +34,6 @@
   Seconds longest_entries_ttl{5};
   // [timing]
   Seconds leave_limit{8};  // Between the signal to stop and the kill.
-  Millis server_leave_limit{2000};
   Millis server_return_time{2000};  // After the store is back.
   // [log]
   std::string log_level = "info";
--- a/tests/unit/gateway_core_test.cc
+++ b/tests/unit/gateway_core_test.cc
@@ -141,7 +141,7 @@
     RepeatBudgetOptions options;
     std::vector<RepeatBudget> budgets(kEntries, RepeatBudget(options));
     for (RepeatBudget& budget : budgets) {
-      budget.SetEntries(kEntries);
+      budget.SetEntries(kEntries, kStart);
       for (int i = 0; i < kRequests; ++i) {
         budget.NoteRequest("s", kStart);
       }
@@ -163,6 +163,33 @@
   }
 }
 
+// Entries that die one after the other have used repeats that count for the
+// rest of the window.
+TEST(RepeatBudgetTest, WhatDeadEntriesUsedStillCounts) {
+  constexpr size_t kEntries = 3;
+  RepeatBudgetOptions options;
+  std::vector<RepeatBudget> budgets(kEntries, RepeatBudget(options));
+  int repeats = 0;
+  for (size_t living = 0; living < kEntries; ++living) {
+    TimePoint now = kStart + Seconds(3) * living;
+    for (size_t i = living; i < kEntries; ++i) {
+      budgets[i].SetEntries(kEntries - living, now);
+      for (size_t j = 0; j < kEntries; ++j) {
+        if (j >= living && j != i) {
+          budgets[i].Report(std::to_string(j), budgets[j].Own(now), now);
+        }
+      }
+    }
+    while (budgets[living].TryRepeat("s", now)) {
+      ++repeats;
+    }
+    for (size_t i = living + 1; i < kEntries; ++i) {
+      budgets[i].Report(std::to_string(living), budgets[living].Own(now), now);
+    }
+  }
+  EXPECT_LE(repeats, options.fixed);
+}
+
 TEST(RepeatBudgetTest, WindowSlides) {
   RepeatBudgetOptions options;
   options.fixed = 10;
