Bound log lines by kind; let streams end until shortly before the kill

Each kind of event has 60 lines a second and 120 at once, warnings and errors 200 and 400 of their own, so that served requests never displace failed ones; what was left out is counted in the next line of that kind.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -13,7 +13,9 @@
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <iostream>
+#include <mutex>
 
+#include "base/log_limiter.h"
 #include "mangoyoke/clock.h"
 
 namespace mangoyoke {
@@ -45,6 +47,23 @@
   return "error";
 }
 
+// Lines of one kind of event, a second and at once. Warnings and errors have
+// a bound of their own, so that successes never displace failures.
+constexpr double kUsualRate = 60;
+constexpr double kUsualBurst = 120;
+constexpr double kWarningRate = 200;
+constexpr double kWarningBurst = 400;
+
+// Whether a line may be written, and how many were left out before it.
+bool Allowed(std::string_view event, LogLevel level, uint64_t& left_out) {
+  static std::mutex mutex;
+  static LogLimiter usual(kUsualRate, kUsualBurst);
+  static LogLimiter warnings(kWarningRate, kWarningBurst);
+  std::lock_guard lock(mutex);
+  LogLimiter& limiter = level < LogLevel::kWarning ? usual : warnings;
+  return limiter.Allow(event, SteadyClock::now(), left_out);
+}
+
 bool NeedsQuotes(std::string_view value) {
   return value.empty() ||
          value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
@@ -97,11 +116,16 @@
 
 LogEvent::LogEvent(std::string_view event, LogLevel level)
     : level_(level), enabled_(level >= MinimumLevel()) {
+  uint64_t left_out = 0;
+  enabled_ = enabled_ && Allowed(event, level, left_out);
   if (!enabled_) {
     return;
   }
   line_ << "time_ms=" << WallMillis() << " level=" << LevelName(level)
         << " instance=" << InstanceName() << " event=" << event;
+  if (left_out > 0) {
+    line_ << " left_out=" << left_out;
+  }
 }
 
 LogEvent::~LogEvent() {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -35,7 +35,7 @@
 // for entries again.
 constexpr Duration kLeaveNotice = Millis(2500);
 // Ends this long before the kill.
-constexpr Duration kKillMargin = Millis(600);
+constexpr Duration kKillMargin = Millis(250);
 constexpr Duration kDrainPoll = Millis(50);
 constexpr Duration kSettingsPoll = Seconds(2);
 constexpr Duration kSweepInterval = Millis(500);
--- a/src/gateway/traffic/front_handler.cc
+++ b/src/gateway/traffic/front_handler.cc
@@ -49,7 +49,7 @@
                           std::string_view why) {
   const ErrorInfo& info = InfoOf(code);
   context_.metrics.Count("mangoyoke_refusals_total", "reason", info.name);
-  LogEvent("request_end")
+  LogEvent("request_end", LogLevel::kWarning)
       .Field("request", facts.id)
       .Field("host", facts.host)
       .Field("path", facts.path)
--- a/src/gateway/traffic/request_run.cc
+++ b/src/gateway/traffic/request_run.cc
@@ -153,7 +153,8 @@
   context_.metrics.Count("mangoyoke_requests_total", "outcome", outcome);
   context_.metrics.Observe("mangoyoke_request_ms", ToMillis(Age()));
   {
-    LogEvent line("request_end");
+    bool served = outcome == "answered" || outcome == "streamed";
+    LogEvent line("request_end", served ? LogLevel::kInfo : LogLevel::kWarning);
     line.Field("request", input_.facts.id)
         .Field("route", input_.route->id)
         .Field("service", input_.service)
@@ -179,7 +180,7 @@
     return true;
   }
   context_.metrics.Count("mangoyoke_repeats_denied_total");
-  LogEvent("repeat_denied")
+  LogEvent("repeat_denied", LogLevel::kWarning)
       .Field("request", input_.facts.id)
       .Field("service", input_.service);
   return false;
@@ -232,7 +233,7 @@
     return;
   }
   LoadCharge load = context_.load.At(server.id, SteadyClock::now());
-  LogEvent("send_failed")
+  LogEvent("send_failed", LogLevel::kWarning)
       .Field("request", input_.facts.id)
       .Field("known_requests", load.requests)
       .Field("known_prompt_tokens", load.prompt_tokens)
