--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -70,10 +70,9 @@
 }
 
 // Writes to standard output without waiting.
-class NonBlockingBackend
-    : public logging::sinks::basic_formatted_sink_backend<
-          char,
-          logging::sinks::synchronized_feeding> {
+class NonBlockingBackend : public logging::sinks::basic_formatted_sink_backend<
+                               char,
+                               logging::sinks::synchronized_feeding> {
  public:
   NonBlockingBackend() {
     int flags = fcntl(STDOUT_FILENO, F_GETFL);
--- a/src/base/log_limiter.h
+++ b/src/base/log_limiter.h
@@ -25,7 +25,8 @@
   bool Allow(std::string_view event, TimePoint now, uint64_t& left_out) {
     auto found = buckets_.find(event);
     if (found == buckets_.end()) {
-      found = buckets_.emplace(std::string(event), Bucket{burst_, now, 0}).first;
+      found =
+          buckets_.emplace(std::string(event), Bucket{burst_, now, 0}).first;
     }
     Bucket& bucket = found->second;
     double earned = rate_ * ToMillis(now - bucket.filled) / 1000;
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -9,10 +9,10 @@
 #include <iostream>
 
 #include "base/log.h"
+#include "base/supervisor.h"
 #include "daemon/control/admin/admin_api.h"
 #include "daemon/control/control_plane.h"
 #include "daemon/settings.h"
-#include "base/supervisor.h"
 #include "daemon/traffic/traffic_worker.h"
 #include "http/http_dispatcher.h"
 
--- a/src/gateway/control/serving_state.cc
+++ b/src/gateway/control/serving_state.cc
@@ -62,8 +62,7 @@
   store_.on_failure.Add([this] { registry_.StoreFailed(SteadyClock::now()); });
   config_follower_.Start();
   server_follower_.Start();
-  tick_timer_ =
-      std::make_unique<PeriodicTimer>(io_, kTick, [this] { Tick(); });
+  tick_timer_ = std::make_unique<PeriodicTimer>(io_, kTick, [this] { Tick(); });
 }
 
 void ServingState::TakeConfigRow(const StoreRow& row, std::string_view source) {
--- a/src/gateway/control/serving_state.h
+++ b/src/gateway/control/serving_state.h
@@ -65,8 +65,8 @@
   Metrics& metrics_;
   BackendRegistry registry_;
   std::shared_ptr<const ServingConfig> config_;
-  StoreRow config_row_;                            // As read; for others.
-  std::map<BackendId, std::string> server_rows_;   // As read; for others.
+  StoreRow config_row_;                           // As read; for others.
+  std::map<BackendId, std::string> server_rows_;  // As read; for others.
   TableFollower config_follower_;
   TableFollower server_follower_;
   std::unique_ptr<PeriodicTimer> tick_timer_;
--- a/src/gateway/control/store_client.cc
+++ b/src/gateway/control/store_client.cc
@@ -40,9 +40,8 @@
     Ended(id, outcome);
     callback(std::move(outcome));
   };
-  auto& call =
-      *calls_.emplace(id, std::make_unique<TimedExchange>(io_, pool_))
-           .first->second;
+  auto& call = *calls_.emplace(id, std::make_unique<TimedExchange>(io_, pool_))
+                    .first->second;
   call.Start(address_, std::move(request), "", false, limit,
              std::move(handlers));
 }
--- a/src/gateway/control/table_follower.cc
+++ b/src/gateway/control/table_follower.cc
@@ -43,12 +43,12 @@
 
 void TableFollower::After(Duration pause, std::function<void()> action) {
   timer_.expires_after(pause);
-  timer_.async_wait([action = std::move(action)](
-                        const boost::system::error_code& error) {
-    if (!error) {
-      action();
-    }
-  });
+  timer_.async_wait(
+      [action = std::move(action)](const boost::system::error_code& error) {
+        if (!error) {
+          action();
+        }
+      });
 }
 
 void TableFollower::ReadPage(const std::string& from) {
@@ -90,10 +90,10 @@
 }
 
 void TableFollower::Follow() {
-  store_.Call(
-      codec_.EncodeFollow(options_.table, version_, kFollowWait),
-      kFollowWait + kAnswerTime,
-      [this](ExchangeOutcome outcome) { OnFollowed(std::move(outcome)); });
+  store_.Call(codec_.EncodeFollow(options_.table, version_, kFollowWait),
+              kFollowWait + kAnswerTime, [this](ExchangeOutcome outcome) {
+                OnFollowed(std::move(outcome));
+              });
 }
 
 void TableFollower::OnFollowed(ExchangeOutcome outcome) {
--- a/src/gateway/core/placement.cc
+++ b/src/gateway/core/placement.cc
@@ -106,7 +106,11 @@
                   (usable == best_usable && key < best_key);
     if (better) {
       double after = MemoryShare(load, query.kv_tokens, view.service);
-      best = PlacementChoice{&server, cost, load, usable, after <= kMemoryShare,
+      best = PlacementChoice{&server,
+                             cost,
+                             load,
+                             usable,
+                             after <= kMemoryShare,
                              MemoryShare(load, 0, view.service)};
       best_usable = usable;
       best_key = key;
--- a/src/gateway/core/placement.h
+++ b/src/gateway/core/placement.h
@@ -39,8 +39,8 @@
   const BackendServer* server = nullptr;  // Null: none is usable.
   double cost = 0;                        // Milliseconds, by estimate.
   LoadCharge load;                        // In flight there before.
-  bool usable = true;      // Not avoided for its failures.
-  bool has_room = true;    // Memory suffices, as far as is known.
+  bool usable = true;                     // Not avoided for its failures.
+  bool has_room = true;     // Memory suffices, as far as is known.
   double memory_share = 0;  // Of the server's memory in use before.
 };
 
--- a/src/gateway/core/ports.h
+++ b/src/gateway/core/ports.h
@@ -28,7 +28,7 @@
 
 // What a caller's request says of itself. Decoded once.
 struct CallerRequest {
-  std::string id;      // Of this try of the caller; empty if it sent none.
+  std::string id;  // Of this try of the caller; empty if it sent none.
   std::string method;
   std::string target;  // Path and query as sent.
   std::string path;    // Without the query.
@@ -37,7 +37,8 @@
   std::string model;           // Empty: not for a model.
   int64_t prompt_tokens = 0;
   int64_t max_output_tokens = 0;
-  std::string resume_after;  // Last event the caller has; empty: from the start.
+  std::string
+      resume_after;  // Last event the caller has; empty: from the start.
 
   bool operator==(const CallerRequest&) const = default;
 };
@@ -86,9 +87,9 @@
   virtual ~CallerCodec() = default;
   virtual CallerRequest DecodeRequest(const HttpRequest& request) const = 0;
   // A final answer of the entry's own. `retry_after` only when it may help.
-  virtual HttpResponse EncodeRefusal(const Error& error,
-                                     std::optional<Duration> retry_after)
-      const = 0;
+  virtual HttpResponse EncodeRefusal(
+      const Error& error,
+      std::optional<Duration> retry_after) const = 0;
   // Whether `request` asks which entries to use.
   virtual bool IsEntriesQuery(const HttpRequest& request) const = 0;
   virtual bool IsReadyQuery(const HttpRequest& request) const = 0;
@@ -109,7 +110,8 @@
   virtual http::response_header<> EncodeAnswerHead(
       const http::response_header<>& head) const = 0;
   virtual Result<PrefillHandle> DecodePrefill(
-      const BackendServer& server, const std::string& body) const = 0;
+      const BackendServer& server,
+      const std::string& body) const = 0;
   // Frees the memory behind `handle`.
   virtual HttpRequest EncodeRelease(const PrefillHandle& handle) const = 0;
   // Reserves room for `tokens` at `server` for `life`.
--- a/src/gateway/core/repeat_budget.cc
+++ b/src/gateway/core/repeat_budget.cc
@@ -86,8 +86,8 @@
     }
   }
   double limit =
-      kCommonPart * (options_.share * static_cast<double>(sum.requests) +
-                     options_.fixed);
+      kCommonPart *
+      (options_.share * static_cast<double>(sum.requests) + options_.fixed);
   return heard >= current && static_cast<double>(sum.repeats) + 1 <= limit;
 }
 
--- a/src/gateway/core/repeat_budget.h
+++ b/src/gateway/core/repeat_budget.h
@@ -18,8 +18,8 @@
 namespace mangoyoke {
 
 struct RepeatBudgetOptions {
-  double share = 0.2;    // Repeats for each request.
-  double fixed = 58;     // Repeats in a window besides.
+  double share = 0.2;  // Repeats for each request.
+  double fixed = 58;   // Repeats in a window besides.
   Duration window = Seconds(10);
   Duration report_life = Seconds(1);  // Older reports do not count.
 
--- a/src/gateway/core/serving_config.cc
+++ b/src/gateway/core/serving_config.cc
@@ -43,10 +43,9 @@
 }
 
 size_t ServingConfig::route_count() const {
-  return std::accumulate(routes_.begin(), routes_.end(), size_t{0},
-                         [](size_t sum, const auto& entry) {
-                           return sum + entry.second.size();
-                         });
+  return std::accumulate(
+      routes_.begin(), routes_.end(), size_t{0},
+      [](size_t sum, const auto& entry) { return sum + entry.second.size(); });
 }
 
 const RouteRule* ServingConfig::Match(std::string_view host,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -104,10 +104,9 @@
     state_.on_config.Add([this] { OnConfig(); });
     state_.on_servers.Add([this] { UpdateEntry(); });
     state_.other_instances = [this] { return OtherInstances(); };
-    members_.on_newer_plan.Add(
-        [this](const std::string& address, Revision) {
-          state_.PullFrom(address);
-        });
+    members_.on_newer_plan.Add([this](const std::string& address, Revision) {
+      state_.PullFrom(address);
+    });
   }
 
   Result<Unit> Start() {
@@ -287,13 +286,14 @@
         signals_(control_io_, SIGTERM, SIGINT, SIGHUP),
         drain_timer_(control_io_),
         settings_path_(settings_path),
-        settings_timer_(control_io_,
-                        kSettingsPoll,
-                        [this] { ReloadIfChanged(); }) {
+        settings_timer_(control_io_, kSettingsPoll, [this] {
+          ReloadIfChanged();
+        }) {
     control_.state().on_config.Add([this] {
-      boost::asio::post(traffic_io_, [this, config = control_.state().config()] {
-        traffic_.SetConfig(config);
-      });
+      boost::asio::post(traffic_io_,
+                        [this, config = control_.state().config()] {
+                          traffic_.SetConfig(config);
+                        });
     });
     control_.state().on_servers.Add([this] {
       boost::asio::post(traffic_io_,
--- a/src/gateway/net/connection_pool.cc
+++ b/src/gateway/net/connection_pool.cc
@@ -22,9 +22,8 @@
   if (!connection.Reusable()) {
     return false;
   }
-  double limit =
-      ToMillis(connection.idle_limit().value_or(kDefaultIdleLimit)) *
-      (careful ? kCarefulShare : kUsableShare);
+  double limit = ToMillis(connection.idle_limit().value_or(kDefaultIdleLimit)) *
+                 (careful ? kCarefulShare : kUsableShare);
   return ToMillis(connection.IdleTime(now)) < limit;
 }
 
--- a/src/gateway/net/http_connection.cc
+++ b/src/gateway/net/http_connection.cc
@@ -86,17 +86,16 @@
 
 void HttpConnection::Write() {
   writing_ = true;
-  http::async_write(
-      socket_, *request_,
-      [self = shared_from_this()](const boost::system::error_code& error,
-                                  size_t size) {
-        self->writing_ = false;
-        self->sent_ = self->sent_ || size > 0;
-        if (error && !self->closed_) {
-          self->Finish(self->sent_ ? ExchangeEnd::kBroken
-                                   : ExchangeEnd::kNotSent);
-        }
-      });
+  http::async_write(socket_, *request_,
+                    [self = shared_from_this()](
+                        const boost::system::error_code& error, size_t size) {
+                      self->writing_ = false;
+                      self->sent_ = self->sent_ || size > 0;
+                      if (error && !self->closed_) {
+                        self->Finish(self->sent_ ? ExchangeEnd::kBroken
+                                                 : ExchangeEnd::kNotSent);
+                      }
+                    });
 }
 
 void HttpConnection::Read() {
--- a/src/gateway/net/http_connection.h
+++ b/src/gateway/net/http_connection.h
@@ -101,13 +101,13 @@
   int exchanges_ = 0;
   bool connected_ = false;
   bool closed_ = false;
-  bool writing_ = false;     // A write is outstanding; it uses request_.
-  bool sent_ = false;        // Bytes of the current request may have left.
-  bool reading_ = false;     // A read is outstanding.
+  bool writing_ = false;  // A write is outstanding; it uses request_.
+  bool sent_ = false;     // Bytes of the current request may have left.
+  bool reading_ = false;  // A read is outstanding.
   bool paused_ = false;
-  bool head_done_ = false;   // Of the answer that parser_ reads.
-  bool foreign_ = false;     // That answer belongs to another request.
-  bool keep_ = true;         // The server keeps the connection.
+  bool head_done_ = false;  // Of the answer that parser_ reads.
+  bool foreign_ = false;    // That answer belongs to another request.
+  bool keep_ = true;        // The server keeps the connection.
 };
 
 }  // namespace mangoyoke
--- a/src/gateway/net/http_listener.cc
+++ b/src/gateway/net/http_listener.cc
@@ -69,24 +69,24 @@
 
  private:
   void Accept() {
-    acceptor_.async_accept([self = shared_from_this()](
-                               const boost::system::error_code& error,
-                               Tcp::socket socket) {
-      if (self->state_->stopped) {
-        return;
-      }
-      if (error) {
-        LogEvent("accept_failed", LogLevel::kWarning)
-            .Field("why", error.message());
-        self->Pause();
-        return;
-      }
-      auto session = std::make_shared<HttpSession>(
-          std::move(socket), self->handler_, self->state_);
-      self->Remember(session);
-      session->Start();
-      self->Accept();
-    });
+    acceptor_.async_accept(
+        [self = shared_from_this()](const boost::system::error_code& error,
+                                    Tcp::socket socket) {
+          if (self->state_->stopped) {
+            return;
+          }
+          if (error) {
+            LogEvent("accept_failed", LogLevel::kWarning)
+                .Field("why", error.message());
+            self->Pause();
+            return;
+          }
+          auto session = std::make_shared<HttpSession>(
+              std::move(socket), self->handler_, self->state_);
+          self->Remember(session);
+          session->Start();
+          self->Accept();
+        });
   }
 
   void Pause() {
--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -311,19 +311,18 @@
 
 void HttpSession::Linger() {
   buffer_.clear();
-  socket_.async_read_some(
-      buffer_.prepare(kReadBytes),
-      [self = shared_from_this()](const boost::system::error_code& error,
-                                  size_t) {
-        if (self->closed_) {
-          return;
-        }
-        if (error) {
-          self->Close();
-          return;
-        }
-        self->Linger();
-      });
+  socket_.async_read_some(buffer_.prepare(kReadBytes),
+                          [self = shared_from_this()](
+                              const boost::system::error_code& error, size_t) {
+                            if (self->closed_) {
+                              return;
+                            }
+                            if (error) {
+                              self->Close();
+                              return;
+                            }
+                            self->Linger();
+                          });
 }
 
 void HttpSession::CloseIfIdle() {
--- a/src/gateway/net/http_session.h
+++ b/src/gateway/net/http_session.h
@@ -69,9 +69,9 @@
   std::optional<Parser> parser_;
   State state_ = State::kIdle;
   bool head_seen_ = false;
-  bool keep_alive_ = true;   // As the request asks.
-  bool is_head_ = false;     // The request's method has no answer body.
-  bool chunked_ = false;     // Of the streamed answer.
+  bool keep_alive_ = true;     // As the request asks.
+  bool is_head_ = false;       // The request's method has no answer body.
+  bool chunked_ = false;       // Of the streamed answer.
   bool answer_ended_ = false;  // All of the answer is in the queue.
   bool watching_ = false;
   bool closed_ = false;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -33,7 +33,7 @@
   RepeatBudgetOptions repeat_budget;
   Seconds longest_entries_ttl{5};
   // [timing]
-  Seconds leave_limit{8};  // Between the signal to stop and the kill.
+  Seconds leave_limit{8};           // Between the signal to stop and the kill.
   Millis server_return_time{2000};  // After the store is back.
   // [log]
   std::string log_level = "info";
--- a/src/gateway/traffic/engine_run.cc
+++ b/src/gateway/traffic/engine_run.cc
@@ -55,7 +55,8 @@
 int64_t EngineRun::KvTokens() const {
   const EngineSpec* engine = Engine();
   int64_t event_tokens = engine != nullptr ? engine->event_tokens : 1;
-  return input_.facts.prompt_tokens + relay_.events() * event_tokens + kGrowthTokens;
+  return input_.facts.prompt_tokens + relay_.events() * event_tokens +
+         kGrowthTokens;
 }
 
 void EngineRun::Reserve(const BackendId& server) {
@@ -203,8 +204,8 @@
     OnPrefillEnd(server, std::move(outcome));
   };
   double patience = choice.cost * kPrefillPatience + kPrefillPatienceMs;
-  Duration limit = std::min(std::max<Duration>(TimeLeft(), Millis(1)),
-                            FromMillis(patience));
+  Duration limit =
+      std::min(std::max<Duration>(TimeLeft(), Millis(1)), FromMillis(patience));
   Send(*choice.server, call, charge, limit, std::move(handlers));
 }
 
@@ -257,8 +258,8 @@
 
 Duration EngineRun::EventLimit() const {
   Duration left = std::max<Duration>(TimeLeft(), Millis(1));
-  bool movable = input_.route->resumable &&
-                 runs_ + 1 < input_.route->max_servers;
+  bool movable =
+      input_.route->resumable && runs_ + 1 < input_.route->max_servers;
   if (!movable) {
     return left;
   }
@@ -340,7 +341,8 @@
     if (++unreachable_ < kMaxUnreachable) {
       Decode();
     } else {
-      FailBeforeRun(ErrorCode::kNoBackend, "no decode server could be connected");
+      FailBeforeRun(ErrorCode::kNoBackend,
+                    "no decode server could be connected");
     }
     return;
   }
--- a/src/gateway/traffic/engine_run.h
+++ b/src/gateway/traffic/engine_run.h
@@ -55,8 +55,8 @@
   std::optional<RoomHold> room_;         // Confirmed by the server.
   std::optional<PrefillHandle> handle_;  // Read and not yet taken.
   std::set<BackendId> failed_prefills_;
-  int prefills_ = 0;        // Prefill calls that reached a server.
-  int unreachable_ = 0;     // Servers that could not be connected.
+  int prefills_ = 0;     // Prefill calls that reached a server.
+  int unreachable_ = 0;  // Servers that could not be connected.
   int decode_refusals_ = 0;
   int resumes_ = 0;
   double admitted_ms_ = 0;
--- a/src/gateway/traffic/front_handler.cc
+++ b/src/gateway/traffic/front_handler.cc
@@ -56,8 +56,8 @@
       .Field("outcome", info.name)
       .Field("why", why)
       .Field("config",
-             static_cast<int64_t>(
-                 context_.config ? context_.config->revision() : Revision{0}));
+             static_cast<int64_t>(context_.config ? context_.config->revision()
+                                                  : Revision{0}));
   std::optional<Duration> retry_after;
   if (code == ErrorCode::kNotReady) {
     retry_after = kRetryWithoutConfig;
@@ -91,8 +91,12 @@
     Refuse(*exchange, facts, ErrorCode::kNoBackend, "the route has no service");
     return;
   }
-  RunInput input{std::move(request), std::move(facts), std::move(exchange),
-                 context_.config,    route,            *service};
+  RunInput input{std::move(request),
+                 std::move(facts),
+                 std::move(exchange),
+                 context_.config,
+                 route,
+                 *service};
   bool stream = route->kind == RequestKind::kStreaming;
   if (stream || HasEngines(*service)) {
     runs_.Add(std::make_unique<EngineRun>(context_, runs_, std::move(input)));
--- a/src/gateway/traffic/load_reporter.cc
+++ b/src/gateway/traffic/load_reporter.cc
@@ -42,8 +42,8 @@
                  ip + ": cannot receive load reports: " + error.message()};
   }
   Receive();
-  timer_ = std::make_unique<PeriodicTimer>(context_.io, kTick,
-                                           [this] { Tick(); });
+  timer_ =
+      std::make_unique<PeriodicTimer>(context_.io, kTick, [this] { Tick(); });
   return Unit{};
 }
 
@@ -115,9 +115,9 @@
     TimePoint now = SteadyClock::now();
     LoadByServer load;
     for (const auto& [id, item] : report.at(1).items()) {
-      load[id] = LoadCharge{item.at(0).get<int64_t>(),
-                            item.at(1).get<int64_t>(),
-                            item.at(2).get<int64_t>()};
+      load[id] =
+          LoadCharge{item.at(0).get<int64_t>(), item.at(1).get<int64_t>(),
+                     item.at(2).get<int64_t>()};
     }
     std::map<ServiceId, RepeatCounts> repeats;
     for (const auto& [service, item] : report.at(2).items()) {
--- a/src/gateway/traffic/plain_run.cc
+++ b/src/gateway/traffic/plain_run.cc
@@ -43,8 +43,8 @@
   if (!another) {
     return left;
   }
-  double patience =
-      kPatienceShare * static_cast<double>(input_.route->target_latency.count());
+  double patience = kPatienceShare *
+                    static_cast<double>(input_.route->target_latency.count());
   return std::min(left, FromMillis(patience));
 }
 
--- a/src/gateway/traffic/request_run.h
+++ b/src/gateway/traffic/request_run.h
@@ -107,8 +107,8 @@
   RunInput input_;
   std::unique_ptr<ServerAttempt> attempt_;  // The current send.
   std::set<BackendId> excluded_;            // Servers that failed this run.
-  int sends_ = 0;        // Sends that reached a server.
-  int runs_ = 0;         // Servers that may have run the request.
+  int sends_ = 0;                           // Sends that reached a server.
+  int runs_ = 0;            // Servers that may have run the request.
   bool streaming_ = false;  // The head of a streamed answer was written.
   bool ended_ = false;
 
--- a/src/gateway/traffic/server_attempt.cc
+++ b/src/gateway/traffic/server_attempt.cc
@@ -28,8 +28,8 @@
     return on_head && on_head(head, answer_);
   };
   inner.on_data = std::move(handlers.on_data);
-  inner.on_end = [this, on_end = std::move(handlers.on_end)](
-                     ExchangeOutcome ended) {
+  inner.on_end = [this,
+                  on_end = std::move(handlers.on_end)](ExchangeOutcome ended) {
     context_.load.Release(charge_id_);
     AttemptOutcome outcome;
     static_cast<ExchangeOutcome&>(outcome) = std::move(ended);
--- a/src/gateway/traffic/traffic_context.cc
+++ b/src/gateway/traffic/traffic_context.cc
@@ -30,9 +30,8 @@
            }),
       load(kLoadReportLife),
       budget(budget_options),
-      placement(std::make_unique<LeastTimePlacement>([this] {
-        return Random();
-      })),
+      placement(
+          std::make_unique<LeastTimePlacement>([this] { return Random(); })),
       servers(std::make_shared<ServerView>()) {}
 
 TrafficContext::~TrafficContext() = default;
--- a/src/membership/membership_service.cc
+++ b/src/membership/membership_service.cc
@@ -5,8 +5,8 @@
 #include <algorithm>
 
 #include "base/log.h"
-#include "membership/member_codec.h"
 #include "mangoyoke/rendezvous.h"
+#include "membership/member_codec.h"
 
 namespace mangoyoke {
 namespace {
--- /dev/null
+++ b/tests/integration/gateway_test.cc
@@ -0,0 +1,351 @@
+// Real gateway processes on stand-ins: spreading of configurations, planned
+// stops, deaths, and trouble of the store.
+
+#include <gtest/gtest.h>
+
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "tests/support/fake_server.h"
+#include "tests/support/fake_store.h"
+
+extern char** environ;
+
+namespace mangoyoke {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kInstances = 3;
+constexpr int kFirstPort = 19200;
+constexpr int kPortsEach = 10;
+constexpr int kServerPort = 19290;
+constexpr int kStreamPort = 19291;
+// Within which an accepted configuration is in force (the users' bound).
+constexpr Duration kConfigBound = Millis(2000);
+constexpr Duration kPatience = Seconds(10);
+
+// The ports of one instance, by what they serve.
+enum Port { kCallers, kReady, kEntries, kPeers, kMetrics, kLoad, kStore };
+
+std::string Address(int port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+// Sends `bytes` to `port` and returns all that comes until the end.
+std::string Talk(int port, const std::string& bytes) {
+  boost::asio::io_context io;
+  Tcp::socket socket(io);
+  boost::system::error_code error;
+  socket.connect(Tcp::endpoint(boost::asio::ip::address_v4::loopback(),
+                               static_cast<uint16_t>(port)),
+                 error);
+  std::string received;
+  if (!error) {
+    boost::asio::write(socket, boost::asio::buffer(bytes), error);
+    boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+  }
+  return received;
+}
+
+std::string Get(int port, const std::string& path) {
+  return Talk(port, "GET " + path +
+                        " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+}
+
+// Whether `condition` comes true within `limit`.
+bool Within(Duration limit, const std::function<bool()>& condition) {
+  TimePoint end = SteadyClock::now() + limit;
+  while (SteadyClock::now() < end) {
+    if (condition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(Millis(20));
+  }
+  return condition();
+}
+
+class GatewayTest : public ::testing::Test {
+ protected:
+  GatewayTest()
+      : store_(io_),
+        service_(io_,
+                 Record("plain", kServerPort),
+                 Answers(http::status::ok, "done")),
+        streams_(io_, Record("streams", kStreamPort), SlowStream()) {
+    for (int i = 0; i < kInstances; ++i) {
+      doors_.push_back(std::make_unique<FakeStoreDoor>(
+          io_, store_, Address(PortOf(i, kStore))));
+    }
+    store_.Put("op", "config", Config(1, {"/old/"}));
+    PutServer("plain", kServerPort);
+    PutServer("streams", kStreamPort);
+    directory_ = std::filesystem::temp_directory_path() /
+                 ("mangoyoke-gateway-" + std::to_string(getpid()));
+    std::filesystem::create_directories(directory_);
+    thread_ = std::thread([this] { io_.run(); });
+    for (int i = 0; i < kInstances; ++i) {
+      Start(i);
+    }
+  }
+
+  ~GatewayTest() override {
+    for (int i = 0; i < kInstances; ++i) {
+      Kill(i, SIGKILL);
+    }
+    io_.stop();
+    thread_.join();
+    std::filesystem::remove_all(directory_);
+  }
+
+  static int PortOf(int instance, Port port) {
+    return kFirstPort + instance * kPortsEach + port;
+  }
+
+  static BackendServer Record(const std::string& id, int port) {
+    BackendServer record;
+    record.id = id;
+    record.address = Address(port);
+    return record;
+  }
+
+  static std::string Config(int revision, std::vector<std::string> prefixes) {
+    Json routes = Json::array();
+    auto add = [&routes](const std::string& prefix, const std::string& kind,
+                         const std::string& service) {
+      routes.push_back(Json{{"Name", "r" + prefix},
+                            {"Host", "h"},
+                            {"Prefix", prefix},
+                            {"Kind", kind},
+                            {"TimeoutMs", 9000},
+                            {"TargetLatencyMs", 500},
+                            {"Service", service},
+                            {"MaxAttempts", 1}});
+    };
+    for (const std::string& prefix : prefixes) {
+      add(prefix, "non_idempotent", "plain");
+    }
+    add("/stream/", "streaming", "streams");
+    return Json{{"Version", revision},
+                {"Routes", routes},
+                {"Services", Json::array({Json{{"Name", "plain"}},
+                                          Json{{"Name", "streams"}}})}}
+        .dump();
+  }
+
+  void PutServer(const std::string& id, int port) {
+    store_.Put("servers", id,
+               Json{{"Service", id},
+                    {"Address", Address(port)},
+                    {"Zone", "z"},
+                    {"Version", "v1"},
+                    {"Slots", 4},
+                    {"State", "ready"},
+                    {"ColdRemainingMs", 0},
+                    {"Seq", 1}}
+                   .dump());
+  }
+
+  // Runs `action` on the stand-ins' thread.
+  void OnStandIns(std::function<void()> action) {
+    std::promise<void> done;
+    boost::asio::post(io_, [&] {
+      action();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  FakeServer::Action SlowStream() {
+    return [this](const HttpRequest& request, auto exchange) {
+      http::response_header<> head;
+      head.result(200);
+      head.set(kRequestId, request[kRequestId]);
+      head.set(http::field::content_type, "text/event-stream");
+      exchange->BeginStream(head);
+      SendEvent(exchange, 1);
+    };
+  }
+
+  // An event each 100 ms, forty of them.
+  void SendEvent(std::shared_ptr<Exchange> exchange, int id) {
+    exchange->Write("id: " + std::to_string(id) + "\ndata: t\n\n");
+    if (id == 40) {
+      exchange->EndStream();
+      return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(io_, Millis(100));
+    timer->async_wait(
+        [this, timer, exchange, id](const boost::system::error_code& error) {
+          if (!error) {
+            SendEvent(exchange, id + 1);
+          }
+        });
+  }
+
+  std::string WriteSettings(int i) const {
+    std::string path =
+        (directory_ / ("instance-" + std::to_string(i) + ".ini")).string();
+    std::ofstream file(path);
+    file << "[instance]\nid = i" << i
+         << "\nzone = z\n[listen]\ncallers = " << Address(PortOf(i, kCallers))
+         << "\nready = " << Address(PortOf(i, kReady))
+         << "\nentries = " << Address(PortOf(i, kEntries))
+         << "\npeers = " << Address(PortOf(i, kPeers))
+         << "\nmetrics = " << Address(PortOf(i, kMetrics))
+         << "\n[store]\naddress = " << Address(PortOf(i, kStore))
+         << "\n[peers]\nknown = " << Address(PortOf(0, kPeers)) << ","
+         << Address(PortOf(1, kPeers)) << "\n";
+    return path;
+  }
+
+  void Start(int i) {
+    std::string settings = WriteSettings(i);
+    std::string log = (directory_ / ("log-" + std::to_string(i))).string();
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    posix_spawn_file_actions_addopen(&files, 1, log.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
+    std::string program = MANGOYOKE_BINARY_DIR "/mangoyoke-gateway";
+    char* arguments[] = {program.data(), settings.data(), nullptr};
+    pid_t pid = 0;
+    ASSERT_EQ(
+        posix_spawn(&pid, program.c_str(), &files, nullptr, arguments, environ),
+        0);
+    posix_spawn_file_actions_destroy(&files);
+    pids_[i] = pid;
+  }
+
+  // Sends `signal` and waits for the end. Returns the exit status.
+  int Kill(int i, int signal) {
+    if (pids_[i] == 0) {
+      return 0;
+    }
+    kill(pids_[i], signal);
+    int status = 0;
+    waitpid(pids_[i], &status, 0);
+    pids_[i] = 0;
+    return status;
+  }
+
+  static bool IsReady(int i) {
+    return Get(PortOf(i, kReady), "/v1/ready").starts_with("HTTP/1.1 200");
+  }
+  static bool Serves(int i, const std::string& path) {
+    return Get(PortOf(i, kCallers), path).starts_with("HTTP/1.1 200");
+  }
+  // How many entries instance `i` names.
+  static size_t EntriesOf(int i) {
+    std::string answer =
+        Get(PortOf(i, kEntries), "/v1/resolve?Name=h&Region=r&Zone=z");
+    size_t body = answer.find("\r\n\r\n");
+    if (body == std::string::npos) {
+      return 0;
+    }
+    Json json = Json::parse(answer.substr(body + 4), nullptr, false);
+    return json.is_object() ? json.value("Addresses", Json::array()).size() : 0;
+  }
+  void WaitForAll() {
+    for (int i = 0; i < kInstances; ++i) {
+      ASSERT_TRUE(Within(kPatience, [i] {
+        return IsReady(i) && EntriesOf(i) == kInstances;
+      })) << i;
+    }
+  }
+
+  boost::asio::io_context io_{1};
+  FakeStore store_;
+  std::vector<std::unique_ptr<FakeStoreDoor>> doors_;
+  FakeServer service_;
+  FakeServer streams_;
+  std::filesystem::path directory_;
+  std::thread thread_;
+  pid_t pids_[kInstances] = {};
+};
+
+TEST_F(GatewayTest, ConfigurationReachesAnInstanceThatTheStoreTurnsAway) {
+  WaitForAll();
+  OnStandIns([this] {
+    doors_[2]->SetRefusing(true);
+    store_.Put("op", "config", Config(2, {"/old/", "/new/"}));
+  });
+  for (int i = 0; i < kInstances; ++i) {
+    EXPECT_TRUE(Within(kConfigBound, [i] { return Serves(i, "/new/x"); })) << i;
+  }
+}
+
+TEST_F(GatewayTest, PlannedStopCutsNoStreamAndSendsCallersElsewhere) {
+  WaitForAll();
+  std::string answer;
+  std::thread caller(
+      [&answer] { answer = Get(PortOf(0, kCallers), "/stream/x"); });
+  ASSERT_TRUE(Within(kPatience, [this] { return streams_.requests() == 1; }));
+  kill(pids_[0], SIGTERM);
+  EXPECT_TRUE(Within(Seconds(1), [] { return !IsReady(0); }));
+  EXPECT_TRUE(Within(Seconds(1), [] { return EntriesOf(1) == 2; }));
+  // Callers that still know this instance are served meanwhile.
+  EXPECT_TRUE(Serves(0, "/old/x"));
+  caller.join();
+  EXPECT_NE(answer.find("id: 40\n"), std::string::npos);
+  EXPECT_TRUE(answer.ends_with("0\r\n\r\n"));
+  EXPECT_EQ(Kill(0, SIGTERM), 0);
+}
+
+TEST_F(GatewayTest, KilledInstanceLeavesTheEntries) {
+  WaitForAll();
+  Kill(2, SIGKILL);
+  EXPECT_TRUE(Within(Seconds(4), [] { return EntriesOf(0) == 2; }));
+  EXPECT_TRUE(Within(Seconds(4), [] { return EntriesOf(1) == 2; }));
+}
+
+TEST_F(GatewayTest, RestartedInstanceServesWhileTheStoreIsDown) {
+  WaitForAll();
+  OnStandIns([this] {
+    for (auto& door : doors_) {
+      door->SetRefusing(true);
+    }
+  });
+  Kill(1, SIGKILL);
+  Start(1);
+  EXPECT_TRUE(Within(Seconds(4), [] { return IsReady(1); }));
+  EXPECT_TRUE(Serves(1, "/old/x"));
+}
+
+TEST_F(GatewayTest, ServersAreFoundAgainAfterTheHistoryIsLost) {
+  WaitForAll();
+  OnStandIns([this] {
+    store_.Put("servers", "plain", std::nullopt);
+    store_.Put("servers", "other", "not readable");
+    store_.DropHistory();
+  });
+  EXPECT_TRUE(Within(Seconds(4), [] { return !Serves(0, "/old/x"); }));
+  OnStandIns([this] { PutServer("plain", kServerPort); });
+  EXPECT_TRUE(Within(Seconds(4), [] { return Serves(0, "/old/x"); }));
+}
+
+TEST_F(GatewayTest, InstanceWithoutConfigurationPromisesNotRun) {
+  for (int i = 0; i < kInstances; ++i) {
+    Kill(i, SIGKILL);
+  }
+  OnStandIns([this] { doors_[0]->SetRefusing(true); });
+  Start(0);
+  EXPECT_TRUE(Within(kPatience, [] {
+    return Get(PortOf(0, kCallers), "/old/x").starts_with("HTTP/1.1 503");
+  }));
+  EXPECT_FALSE(IsReady(0));
+  EXPECT_EQ(EntriesOf(0), 0U);
+}
+
+}  // namespace
+}  // namespace mangoyoke
--- /dev/null
+++ b/tests/support/fake_store.cc
@@ -0,0 +1,146 @@
+// Rows, feeds and refusals.
+
+#include "tests/support/fake_store.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <nlohmann/json.hpp>
+
+namespace mangoyoke {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kHttpVersion = 11;
+
+std::string ToBase64(const std::string& text) {
+  using Encoder = boost::archive::iterators::base64_from_binary<
+      boost::archive::iterators::transform_width<const char*, 6, 8>>;
+  std::string encoded(Encoder(text.data()), Encoder(text.data() + text.size()));
+  return encoded.append((3 - text.size() % 3) % 3, '=');
+}
+
+// The value of `name` in the query of `target`; empty if absent.
+std::string QueryValue(const std::string& target, const std::string& name) {
+  size_t at = target.find("?" + name + "=");
+  if (at == std::string::npos) {
+    at = target.find("&" + name + "=");
+  }
+  if (at == std::string::npos) {
+    return {};
+  }
+  at += name.size() + 2;
+  return target.substr(at, target.find('&', at) - at);
+}
+
+}  // namespace
+
+void FakeStore::Put(const std::string& table,
+                    const std::string& key,
+                    std::optional<std::string> value) {
+  tables_[table][key] = Row{std::move(value), ++version_};
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    if (!HasChanges(it->table, it->after)) {
+      ++it;
+      continue;
+    }
+    it->exchange->Reply(Rows(it->table, it->after));
+    it = waiting_.erase(it);
+  }
+}
+
+bool FakeStore::HasChanges(const std::string& table, uint64_t after) const {
+  auto found = tables_.find(table);
+  if (found == tables_.end()) {
+    return false;
+  }
+  return std::any_of(
+      found->second.begin(), found->second.end(),
+      [after](const auto& entry) { return entry.second.version > after; });
+}
+
+HttpResponse FakeStore::Rows(const std::string& table, uint64_t after) const {
+  Json rows = Json::array();
+  if (auto found = tables_.find(table); found != tables_.end()) {
+    for (const auto& [key, row] : found->second) {
+      if (row.version <= after || (after == 0 && !row.value)) {
+        continue;
+      }
+      Json item{{"Table", table},
+                {"part", ""},
+                {"Key", key},
+                {"SchemaVersion", row.version}};
+      if (row.value) {
+        item["Value"] = ToBase64(*row.value);
+      } else {
+        item["Removed"] = true;
+      }
+      rows.push_back(std::move(item));
+    }
+  }
+  HttpResponse response(http::status::ok, kHttpVersion);
+  response.body() = Json{
+      {"Rows", rows},
+      {"HasMore", false},
+      {"SchemaVersion", version_},
+      {"NowMs", 0}}.dump();
+  return response;
+}
+
+void FakeStore::Follow(const std::string& table,
+                       uint64_t after,
+                       Millis wait,
+                       std::shared_ptr<Exchange> exchange) {
+  if (after < oldest_) {
+    exchange->Reply(HttpResponse(http::status::gone, kHttpVersion));
+    return;
+  }
+  if (HasChanges(table, after)) {
+    exchange->Reply(Rows(table, after));
+    return;
+  }
+  auto entry = waiting_.insert(
+      waiting_.end(),
+      Waiting{table, after, std::move(exchange),
+              std::make_unique<boost::asio::steady_timer>(io_, wait)});
+  entry->timer->async_wait(
+      [this, entry](const boost::system::error_code& error) {
+        if (!error) {
+          entry->exchange->Reply(Rows(entry->table, version_));
+          waiting_.erase(entry);
+        }
+      });
+}
+
+FakeStoreDoor::FakeStoreDoor(boost::asio::io_context& io,
+                             FakeStore& store,
+                             const std::string& address)
+    : store_(store), listener_(io, *this) {
+  EXPECT_TRUE(Ok(listener_.Listen(address)));
+}
+
+HttpResponse FakeStoreDoor::OnBadRequest(const Error&) const {
+  return HttpResponse(http::status::bad_request, kHttpVersion);
+}
+
+void FakeStoreDoor::OnRequest(HttpRequest request,
+                              std::shared_ptr<Exchange> exchange) {
+  if (refusing_) {
+    exchange->Reply(
+        HttpResponse(http::status::service_unavailable, kHttpVersion));
+    return;
+  }
+  std::string target(request.target());
+  std::string table = QueryValue(target, "Table");
+  if (target.starts_with("/v1/rows-get")) {
+    exchange->Reply(store_.Rows(table, 0));
+    return;
+  }
+  store_.Follow(table, std::stoull(QueryValue(target, "after")),
+                Millis(std::stoll(QueryValue(target, "WaitMs"))),
+                std::move(exchange));
+}
+
+}  // namespace mangoyoke
--- a/tests/unit/gateway_core_test.cc
+++ b/tests/unit/gateway_core_test.cc
@@ -25,8 +25,9 @@
 
 TEST(ServingConfigTest, LongestPrefixOfTheHostWins) {
   ServingConfig config(
-      7, {MakeRoute("a.example", "/x/"), MakeRoute("a.example", "/x/y/"),
-          MakeRoute("b.example", "/")},
+      7,
+      {MakeRoute("a.example", "/x/"), MakeRoute("a.example", "/x/y/"),
+       MakeRoute("b.example", "/")},
       {}, {});
   EXPECT_EQ(config.Match("A.example:80", "/x/y/z")->prefix, "/x/y/");
   EXPECT_EQ(config.Match("a.example", "/x/yy")->prefix, "/x/");
@@ -307,8 +308,7 @@
   EXPECT_EQ(relay.events(), 2);
   EXPECT_EQ(relay.rest(), "id: 3\nda");
   relay.DropRest();
-  EXPECT_EQ(relay.Push("id: 3\r\ndata: c\r\n\r\n"),
-            "id: 3\r\ndata: c\r\n\r\n");
+  EXPECT_EQ(relay.Push("id: 3\r\ndata: c\r\n\r\n"), "id: 3\r\ndata: c\r\n\r\n");
   EXPECT_EQ(relay.last_id(), "3");
 }
 
--- a/tests/unit/gateway_http_test.cc
+++ b/tests/unit/gateway_http_test.cc
@@ -20,7 +20,6 @@
 constexpr int kPort = 18931;
 constexpr char kAddress[] = "127.0.0.1:18931";
 
-
 class TestHandler : public RequestHandler {
  public:
   std::function<void(const HttpRequest&, std::shared_ptr<Exchange>)> action;
@@ -32,8 +31,8 @@
   }
   CallerLimits Limits() const override { return limits; }
   HttpResponse OnBadRequest(const Error& error) const override {
-    return HttpResponse(static_cast<http::status>(InfoOf(error.code).http_status),
-                        11);
+    return HttpResponse(
+        static_cast<http::status>(InfoOf(error.code).http_status), 11);
   }
 };
 
@@ -129,8 +128,8 @@
     exchange->Reply(HttpResponse(http::status::ok, 11));
   };
   std::string received = Exchanged(GetParam().bytes);
-  EXPECT_TRUE(received.starts_with(std::string("HTTP/1.1 ") +
-                                   GetParam().status))
+  EXPECT_TRUE(
+      received.starts_with(std::string("HTTP/1.1 ") + GetParam().status))
       << received;
   EXPECT_EQ(handled, 0);
 }
@@ -151,13 +150,16 @@
      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
      "zz\r\nabc\r\n",
      "400"},
-    {"long_body",
-     "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 21\r\n\r\n", "413"},
+    {"long_body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 21\r\n\r\n",
+     "413"},
     {"long_header",
      "GET / HTTP/1.1\r\nHost: h\r\nX-Long: "
-     "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
-     "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
-     "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+     "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+     "a"
+     "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+     "a"
+     "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+     "a"
      "\r\n\r\n",
      "431"}};
 
@@ -175,9 +177,7 @@
                   Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
     thread_ = std::thread([this] { Serve(); });
   }
-  ~ScriptedServer() {
-    thread_.join();
-  }
+  ~ScriptedServer() { thread_.join(); }
   std::string address() const {
     return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
   }
@@ -259,8 +259,9 @@
 }
 
 TEST(HttpConnectionTest, CutAnswerIsBroken) {
-  ScriptedServer server({"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\n"
-                         "cut!"});
+  ScriptedServer server(
+      {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\n"
+       "cut!"});
   auto outcomes = Send(server.address(), {"a"});
   EXPECT_EQ(outcomes[0].end, ExchangeEnd::kBroken);
 }
--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -79,8 +79,7 @@
 }
 
 TEST(StoreCodecTest, DecodesAServer) {
-  auto server =
-      PlatformStoreCodec().DecodeServer(StoreRow{"i-1", kServerRow});
+  auto server = PlatformStoreCodec().DecodeServer(StoreRow{"i-1", kServerRow});
   ASSERT_TRUE(server);
   EXPECT_EQ(server->id, "i-1");
   EXPECT_EQ(server->address, "10.128.0.9:8080");
@@ -93,9 +92,8 @@
 // A row from another writer names no server to use.
 TEST(StoreCodecTest, RowsWithWrongFieldsNameNoServer) {
   PlatformStoreCodec codec;
-  for (const char* field :
-       {"Service", "Address", "Zone", "Version", "Slots", "State",
-        "ColdRemainingMs", "Seq"}) {
+  for (const char* field : {"Service", "Address", "Zone", "Version", "Slots",
+                            "State", "ColdRemainingMs", "Seq"}) {
     Json missing = Json::parse(kServerRow);
     missing.erase(field);
     EXPECT_FALSE(codec.DecodeServer(StoreRow{"i", missing.dump()})) << field;
@@ -103,11 +101,14 @@
     wrong[field] = Json::array({1});
     EXPECT_FALSE(codec.DecodeServer(StoreRow{"i", wrong.dump()})) << field;
   }
-  const std::pair<const char*, Json> values[] = {
-      {"State", "tired"},          {"Stage", "elsewhere"},
-      {"Slots", 1.5},              {"born", "yesterday"},
-      {"Address", "nowhere"},      {"Address", "10.0.0.1:99999"},
-      {"Address", "10.0.0.1:80x"}, {"Address", "::1:80"}};
+  const std::pair<const char*, Json> values[] = {{"State", "tired"},
+                                                 {"Stage", "elsewhere"},
+                                                 {"Slots", 1.5},
+                                                 {"born", "yesterday"},
+                                                 {"Address", "nowhere"},
+                                                 {"Address", "10.0.0.1:99999"},
+                                                 {"Address", "10.0.0.1:80x"},
+                                                 {"Address", "::1:80"}};
   for (const auto& [field, value] : values) {
     Json wrong = Json::parse(kServerRow);
     wrong[field] = value;
@@ -117,11 +118,10 @@
 }
 
 TEST(StoreCodecTest, DecodesRowsAndRemovals) {
-  std::string body =
-      R"({"Rows":[{"Table":"t","part":"","Key":"a","Value":")" +
-      ToBase64("hello") +
-      R"(","SchemaVersion":4},{"Key":"b","Removed":true}],)"
-      R"("HasMore":true,"SchemaVersion":9,"NowMs":1})";
+  std::string body = R"({"Rows":[{"Table":"t","part":"","Key":"a","Value":")" +
+                     ToBase64("hello") +
+                     R"(","SchemaVersion":4},{"Key":"b","Removed":true}],)"
+                     R"("HasMore":true,"SchemaVersion":9,"NowMs":1})";
   auto decoded = PlatformStoreCodec().DecodeRows(body);
   ASSERT_TRUE(Ok(decoded));
   const auto& rows = std::get<StoreRows>(decoded);
