--- a/src/gateway/traffic/engine_run.cc
+++ b/src/gateway/traffic/engine_run.cc
@@ -120,6 +120,23 @@
   return choice;
 }
 
+void EngineRun::NoteWait(const PlacementChoice& choice) {
+  if (std::exchange(waited_, true)) {
+    return;
+  }
+  context_.metrics.Count("mangoyoke_admission_waits_total");
+  LogEvent("admission_wait")
+      .Field("request", input_.facts.id)
+      .Field("best_server", choice.server->id)
+      .Field("memory_share", choice.memory_share)
+      .Field("known_requests", choice.load.requests)
+      .Field("needed_tokens", KvTokens())
+      .Field("usable", static_cast<int64_t>(choice.usable))
+      .Field("waiting", static_cast<int64_t>(
+                            context_.admission->Waiting(input_.service)))
+      .Field("registry", static_cast<int64_t>(context_.servers->version));
+}
+
 bool EngineRun::TryAdmit() {
   if (ended_) {
     return true;
@@ -130,6 +147,7 @@
     return true;
   }
   if (!choice.has_room || !choice.usable) {
+    NoteWait(choice);
     return false;
   }
   memory_share_ = choice.memory_share;
--- a/src/gateway/traffic/engine_run.h
+++ b/src/gateway/traffic/engine_run.h
@@ -25,6 +25,8 @@
   void DescribeEnd(LogEvent& line) const override;
 
   void Wait();
+  // Logs, once, why the request is not admitted at once.
+  void NoteWait(const PlacementChoice& choice);
   PlacementChoice ChooseDecode();
   void TakeRoom(const BackendServer& server);
   void OnRoom(const BackendServer& server, AttemptOutcome outcome);
@@ -50,6 +52,7 @@
   const EngineSpec* Engine() const;
 
   EventRelay relay_;
+  bool waited_ = false;
   std::optional<BackendServer> target_;  // Decode server with room.
   uint64_t reservation_ = 0;             // Its memory; 0: none marked.
   std::optional<RoomHold> room_;         // Confirmed by the server.
--- a/src/gateway/traffic/request_run.cc
+++ b/src/gateway/traffic/request_run.cc
@@ -19,6 +19,25 @@
 // While engines are full, callers come back when a crest may be over.
 constexpr double kOverloadRetryMs = 1500;
 constexpr double kOverloadSpreadMs = 2500;
+constexpr unsigned kServerErrors = 500;
+
+// What an ended send says of its server.
+ServerEvidence EvidenceOf(const AttemptOutcome& outcome) {
+  if (outcome.timed_out) {
+    return ServerEvidence::kSilent;
+  }
+  if (outcome.end == ExchangeEnd::kNotSent || outcome.answer.wrong_server) {
+    return ServerEvidence::kUnreachable;
+  }
+  if (outcome.end == ExchangeEnd::kBroken) {
+    return ServerEvidence::kBroken;
+  }
+  if (outcome.answer.not_run) {
+    return ServerEvidence::kFull;
+  }
+  return outcome.answer.status >= kServerErrors ? ServerEvidence::kError
+                                                : ServerEvidence::kGood;
+}
 
 }  // namespace
 
@@ -214,20 +233,7 @@
 void RequestRun::NoteOutcome(const BackendServer& server,
                              const AttemptOutcome& outcome,
                              double slowness) {
-  ServerEvidence evidence = ServerEvidence::kGood;
-  if (outcome.timed_out) {
-    evidence = ServerEvidence::kSilent;
-  } else if (outcome.end == ExchangeEnd::kNotSent) {
-    evidence = ServerEvidence::kUnreachable;
-  } else if (outcome.end == ExchangeEnd::kBroken) {
-    evidence = ServerEvidence::kBroken;
-  } else if (outcome.answer.wrong_server) {
-    evidence = ServerEvidence::kUnreachable;
-  } else if (outcome.answer.not_run) {
-    evidence = ServerEvidence::kFull;
-  } else if (outcome.answer.status >= 500) {
-    evidence = ServerEvidence::kError;
-  }
+  ServerEvidence evidence = EvidenceOf(outcome);
   context_.health.Note(server, evidence, slowness, SteadyClock::now());
   if (evidence == ServerEvidence::kGood) {
     return;
--- a/src/tool/main.cc
+++ b/src/tool/main.cc
@@ -9,6 +9,7 @@
 
 #include "mangoyoke/plan.h"
 #include "tool/admin_client.h"
+#include "tool/explain.h"
 
 namespace mangoyoke {
 namespace {
@@ -35,6 +36,8 @@
   entries        entries for callers, as one instance sees them
   backends       allocation cells and their free slots
   counters       the metrics of the first instance that answers
+  explain ID     tell from log lines on standard input what became of the
+                 request with that id, and why
   drain          let the first instance of --admin stop taking work
 
 options:
@@ -294,6 +297,20 @@
   return kExitOk;
 }
 
+int Explain(const std::string& request_id) {
+  if (request_id.empty()) {
+    std::cerr << "mangoyokectl: explain needs a request id; see --help\n";
+    return kExitUsage;
+  }
+  auto story = ExplainRequest(std::cin, request_id);
+  if (const auto* error = std::get_if<Error>(&story)) {
+    std::cerr << "mangoyokectl: " << error->detail << "\n";
+    return kExitInvalid;
+  }
+  std::cout << std::get<std::string>(story);
+  return kExitOk;
+}
+
 int Run(const Options& options) {
   bool needs_file = options.command == "check" || options.command == "diff" ||
                     options.command == "submit";
@@ -301,6 +318,9 @@
     std::cerr << "mangoyokectl: " << options.command << " needs a FILE\n";
     return kExitUsage;
   }
+  if (options.command == "explain") {
+    return Explain(options.file);
+  }
   if (options.command == "check") {
     return Check(options);
   }
