See restarts after the clock jumped back; bound answers held in memory

Found by reading for trouble that the kinds allow. A restarted process takes its incarnation from the wall clock; after a jump back it is lower than the one that others remember as dead, and they ignored it for good (test fails before). Now the instance takes a higher one as soon as it hears of its earlier run.

An answer without end from a faulty server was collected without bound: 16 MiB now end it as broken.

--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -113,6 +113,12 @@
 
 bool Membership::RefuteIfNeeded(const MemberRecord& record) {
   Member& member = members_.at(self_id_);
+  // An earlier run of this instance whose wall clock was ahead.
+  if (record.incarnation > member.record.incarnation) {
+    member.record.incarnation = record.incarnation + 1;
+    member.changed_at = ++version_;
+    return true;
+  }
   bool same_run = record.incarnation == member.record.incarnation;
   bool against = record.state == MemberState::kSuspect ||
                  record.state == MemberState::kDead;
--- a/src/gateway/net/timed_exchange.cc
+++ b/src/gateway/net/timed_exchange.cc
@@ -5,6 +5,13 @@
 #include <boost/asio/post.hpp>
 
 namespace mangoyoke {
+namespace {
+
+// An answer that is held in memory until it is whole. Beyond this it counts as
+// broken.
+constexpr size_t kMaxAnswerBytes = 16 << 20;
+
+}  // namespace
 
 TimedExchange::TimedExchange(boost::asio::io_context& io, ConnectionPool& pool)
     : io_(io), pool_(pool), timer_(io) {}
@@ -68,8 +75,12 @@
 void TimedExchange::OnData(std::string data) {
   if (hand_out_) {
     handlers_.on_data(std::move(data));
-  } else {
-    outcome_.body.append(data);
+    return;
+  }
+  outcome_.body.append(data);
+  if (outcome_.body.size() > kMaxAnswerBytes) {
+    connection_->Close();
+    OnEnd(ExchangeEnd::kBroken);
   }
 }
 
--- a/src/gateway/traffic/engine_run.cc
+++ b/src/gateway/traffic/engine_run.cc
@@ -132,8 +132,8 @@
       .Field("known_requests", choice.load.requests)
       .Field("needed_tokens", KvTokens())
       .Field("usable", static_cast<int64_t>(choice.usable))
-      .Field("waiting", static_cast<int64_t>(
-                            context_.admission->Waiting(input_.service)))
+      .Field("waiting",
+             static_cast<int64_t>(context_.admission->Waiting(input_.service)))
       .Field("registry", static_cast<int64_t>(context_.servers->version));
 }
 
--- a/src/tool/explain.cc
+++ b/src/tool/explain.cc
@@ -20,8 +20,9 @@
       {"answered", "a server's answer was passed on unchanged"},
       {"streamed", "the stream was passed on to its end"},
       {"caller_gone", "the caller closed its connection first"},
-      {"not_ready", "the instance had no configuration yet; the request did "
-                    "not run"},
+      {"not_ready",
+       "the instance had no configuration yet; the request did "
+       "not run"},
       {"unknown_path", "no route of the configuration in force matches"},
       {"no_backend", "no usable server took it; it did not run and will not"},
       {"deadline_expired",
@@ -56,29 +57,29 @@
   if (line.event == "send_failed") {
     out << line.Value("stage") << " server " << line.Value("server") << " "
         << Evidence(line) << " (status " << line.Value("status") << ", after "
-        << line.Value("ms") << " ms; work known there: "
-        << line.Value("known_requests") << " requests)";
+        << line.Value("ms")
+        << " ms; work known there: " << line.Value("known_requests")
+        << " requests)";
   } else if (line.event == "admission_wait") {
     out << "waits: the best decode server " << line.Value("best_server")
-        << " has " << line.Value("memory_share")
-        << " of its memory in use by " << line.Value("known_requests")
-        << " requests, and the request needs " << line.Value("needed_tokens")
-        << " tokens; " << line.Value("waiting") << " others wait here";
+        << " has " << line.Value("memory_share") << " of its memory in use by "
+        << line.Value("known_requests") << " requests, and the request needs "
+        << line.Value("needed_tokens") << " tokens; " << line.Value("waiting")
+        << " others wait here";
   } else if (line.event == "repeat_denied") {
     out << "not sent again: the shared budget of repeats of service "
         << line.Value("service") << " is used up";
   } else if (line.event == "stream_resume") {
-    out << "the stream goes on elsewhere after event "
-        << line.Value("after");
+    out << "the stream goes on elsewhere after event " << line.Value("after");
   } else if (line.event == "server_evidence") {
     out << "(believed of server " << line.Value("server") << ": "
         << line.Value("failures") << " failures in " << line.Value("requests")
         << " recent requests, last " << line.Value("evidence") << ")";
   } else if (line.event == "request_end") {
-    out << "ended after " << line.Value("ms") << " ms: "
-        << line.Value("outcome") << ", status " << line.Value("status")
-        << ", last server " << line.Value("server") << ", "
-        << line.Value("sends") << " sends, configuration "
+    out << "ended after " << line.Value("ms")
+        << " ms: " << line.Value("outcome") << ", status "
+        << line.Value("status") << ", last server " << line.Value("server")
+        << ", " << line.Value("sends") << " sends, configuration "
         << line.Value("config") << ", registry " << line.Value("registry");
   } else {
     out << line.event;
@@ -110,8 +111,8 @@
     bool quoted = begin < text.size() && text[begin] == '"';
     size_t end = quoted ? text.find('"', begin + 1) : text.find(' ', begin);
     end = std::min(end, text.size());
-    line.fields[key] = text.substr(begin + (quoted ? 1 : 0),
-                                   end - begin - (quoted ? 1 : 0));
+    line.fields[key] =
+        text.substr(begin + (quoted ? 1 : 0), end - begin - (quoted ? 1 : 0));
     at = text.find_first_not_of("\" ", end);
   }
   line.event = line.Value("event");
--- a/tests/unit/membership_test.cc
+++ b/tests/unit/membership_test.cc
@@ -124,5 +124,28 @@
   EXPECT_TRUE(membership.ChangesSince(version, 3).records.empty());
 }
 
+// A wall clock that jumped back gives a restarted process a lower incarnation
+// than the one that others remember.
+TEST(MembershipTest, RestartAfterTheClockJumpedBackIsSeen) {
+  MemberRecord before;
+  before.id = "b";
+  before.incarnation = 5000;
+  before.state = MemberState::kDead;
+  MemberRecord self;
+  self.id = "a";
+  Membership other(self, MembershipOptions{});
+  other.Merge({before}, TimePoint());
+  MemberRecord restarted;
+  restarted.id = "b";
+  restarted.incarnation = 3000;
+  restarted.caller_address = "127.0.0.1:1";
+  Membership again(restarted, MembershipOptions{});
+  other.Merge({again.self()}, TimePoint());
+  // What others remember comes back with the first answer.
+  again.Merge(other.All(), TimePoint());
+  other.Merge({again.self()}, TimePoint());
+  EXPECT_TRUE(other.Find("b")->AcceptsCallers());
+}
+
 }  // namespace
 }  // namespace mangoyoke
