--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -302,6 +302,33 @@
   EXPECT_EQ(Kill(0, SIGTERM), 0);
 }
 
+TEST_F(GatewayTest, ReloadCutsNothingAndTakesTheNewStoreAddress) {
+  WaitForAll();
+  std::string answer;
+  std::thread caller([&answer] {
+    answer = Get(PortOf(0, kCallers), "/stream/x");
+  });
+  ASSERT_TRUE(Within(kPatience, [this] { return streams_.requests() == 1; }));
+  // From now on instance 0 reads the store at the address of instance 1.
+  std::string path = WriteSettings(0);
+  std::ifstream input(path);
+  std::string text((std::istreambuf_iterator<char>(input)), {});
+  std::string before = Address(PortOf(0, kStore));
+  text.replace(text.find(before), before.size(), Address(PortOf(1, kStore)));
+  std::ofstream(path) << text;
+  kill(pids_[0], SIGHUP);
+  caller.join();
+  EXPECT_TRUE(answer.ends_with("0\r\n\r\n"));
+  for (int i = 1; i < kInstances; ++i) {
+    Kill(i, SIGKILL);
+  }
+  OnStandIns([this] {
+    doors_[0]->SetRefusing(true);
+    store_.Put("op", "config", Config(2, {"/old/", "/new/"}));
+  });
+  EXPECT_TRUE(Within(kConfigBound, [] { return Serves(0, "/new/x"); }));
+}
+
 TEST_F(GatewayTest, KilledInstanceLeavesTheEntries) {
   WaitForAll();
   Kill(2, SIGKILL);
