Look at a decode server again before it is used; refuse hopeless prefills

The prefill had taken 3.2 s: scale-ins had left one prefill server, and its queue was not looked at before admission.

Now a decode server must still be what it was when it was chosen, else another one is chosen; and a prompt that cannot be read before its target is not admitted. Both tests fail before.

--- a/src/gateway/traffic/engine_run.cc
+++ b/src/gateway/traffic/engine_run.cc
@@ -108,6 +108,28 @@
   }
 }
 
+bool EngineRun::StillReady(const BackendServer& server) const {
+  const BackendServer* now = context_.servers->Find(server.id);
+  return now != nullptr && *now == server;
+}
+
+PlacementChoice EngineRun::ChoosePrefill() {
+  PlacementQuery query;
+  query.stage = ServerStage::kPrefill;
+  query.prompt_tokens = input_.facts.prompt_tokens;
+  query.excluded = failed_prefills_;
+  return Place(query);
+}
+
+bool EngineRun::PrefillInTime() {
+  PlacementChoice choice = ChoosePrefill();
+  Duration target = input_.route->target_latency;
+  if (choice.server == nullptr || target == Duration::zero()) {
+    return true;
+  }
+  return Age() + FromMillis(choice.cost + kFirstEventMs) <= target;
+}
+
 PlacementChoice EngineRun::ChooseDecode() {
   PlacementQuery query;
   query.stage = ServerStage::kDecode;
@@ -146,7 +168,7 @@
     FailBeforeRun(ErrorCode::kNoBackend, "no usable decode server");
     return true;
   }
-  if (!choice.has_room || !choice.usable) {
+  if (!choice.has_room || !choice.usable || !PrefillInTime()) {
     NoteWait(choice);
     return false;
   }
@@ -202,11 +224,7 @@
 }
 
 void EngineRun::Prefill() {
-  PlacementQuery query;
-  query.stage = ServerStage::kPrefill;
-  query.prompt_tokens = input_.facts.prompt_tokens;
-  query.excluded = failed_prefills_;
-  PlacementChoice choice = Place(query);
+  PlacementChoice choice = ChoosePrefill();
   if (choice.server == nullptr || prefills_ >= kMaxPrefills ||
       unreachable_ >= kMaxUnreachable) {
     Decode();
@@ -260,8 +278,9 @@
 }
 
 void EngineRun::Decode() {
-  if (target_) {
-    SendDecode(*std::exchange(target_, std::nullopt));
+  auto target = std::exchange(target_, std::nullopt);
+  if (target && StillReady(*target)) {
+    SendDecode(*target);
     return;
   }
   DropRoom();
--- a/src/gateway/traffic/engine_run.h
+++ b/src/gateway/traffic/engine_run.h
@@ -28,6 +28,11 @@
   // Logs, once, why the request is not admitted at once.
   void NoteWait(const PlacementChoice& choice);
   PlacementChoice ChooseDecode();
+  PlacementChoice ChoosePrefill();
+  // Whether the prompt can be read before the first event is due.
+  bool PrefillInTime();
+  // Whether `server` is still what it was when it was chosen.
+  bool StillReady(const BackendServer& server) const;
   void TakeRoom(const BackendServer& server);
   void OnRoom(const BackendServer& server, AttemptOutcome outcome);
   void DropRoom();
--- a/tests/unit/gateway_run_test.cc
+++ b/tests/unit/gateway_run_test.cc
@@ -258,6 +258,42 @@
   EXPECT_EQ(decodes, 2);
 }
 
+// A long prefill can outlast the time in which a leaving server still takes
+// requests.
+TEST_F(RunTest, DecodeServerThatLeavesDuringThePrefillGetsNothing) {
+  AddServer(ServerStage::kPrefill, [this](const HttpRequest& request,
+                                          auto exchange) {
+    ServerView view = *context_.servers;
+    view.servers["server-1"].state = ServerState::kLeaving;
+    view.servers["server-2"].state = ServerState::kReady;
+    context_.servers = std::make_shared<ServerView>(view);
+    Reads("h1")(request, exchange);
+  });
+  AddServer(ServerStage::kDecode, Streams(io_, 1, 1, true));
+  AddServer(ServerStage::kDecode, Streams(io_, 1, 1, true));
+  Serve(RequestKind::kStreaming, false, 1);
+  std::promise<void> prepared;
+  boost::asio::post(io_, [&] {
+    ServerView only_first = *context_.servers;
+    only_first.servers["server-2"].state = ServerState::kLeaving;
+    context_.servers = std::make_shared<ServerView>(only_first);
+    prepared.set_value();
+  });
+  prepared.get_future().wait();
+  EXPECT_TRUE(HasStatus(Ask(), 200));
+  EXPECT_EQ(servers_[1]->requests(), 0);
+  EXPECT_EQ(servers_[2]->requests(), 1);
+}
+
+TEST_F(RunTest, PrefillQueueBeyondTheTargetIsRefusedAtOnceNotRead) {
+  AddServer(ServerStage::kPrefill, Reads("h1"));
+  AddServer(ServerStage::kDecode, Streams(io_, 1, 1, true));
+  context_.load.Charge("server-0", LoadCharge{30, 90'000, 0});
+  Serve(RequestKind::kStreaming, false, 1);
+  EXPECT_TRUE(HasStatus(Ask(), 429));
+  EXPECT_EQ(servers_[0]->requests(), 0);
+}
+
 TEST_F(RunTest, PrefillThatFailsIsRepeatedElsewhere) {
   AddServer(ServerStage::kPrefill, Resets());
   AddServer(ServerStage::kPrefill, Reads("h2"));
