Let decode servers read prompts themselves while prefill is late

They read a prompt at half the speed: taken when no prefill server is in time and no other prompt is being read there.

--- a/src/gateway/traffic/engine_run.cc
+++ b/src/gateway/traffic/engine_run.cc
@@ -26,6 +26,8 @@
 constexpr int64_t kGrowthTokens = 200;
 // Below this share of its memory in use, a server is sure to have room.
 constexpr double kSureRoomShare = 0.6;
+// A decode server reads prompts this many times slower than a prefill server.
+constexpr double kOwnReadingSlowness = 2;
 constexpr unsigned kNoRoom = 503;
 constexpr Duration kRoomCallLimit = Millis(150);
 // A server that refused room is not asked again at once.
@@ -64,6 +66,7 @@
   LoadCharge charge;
   charge.requests = 1;
   charge.kv_tokens = KvTokens();
+  charge.prompt_tokens = reads_itself_ ? input_.facts.prompt_tokens : 0;
   reservation_ = context_.load.Charge(server, charge);
 }
 
@@ -130,6 +133,17 @@
   return Age() + FromMillis(choice.cost + kFirstEventMs) <= target;
 }
 
+bool EngineRun::ReadsInTime(const PlacementChoice& decode) const {
+  // A second prompt at once would make the streams there pause for too long.
+  if (decode.load.prompt_tokens > 0) {
+    return false;
+  }
+  double reading =
+      kOwnReadingSlowness * PrefillMillis(input_.facts.prompt_tokens);
+  return Age() + FromMillis(reading + kFirstEventMs) <=
+         input_.route->target_latency;
+}
+
 PlacementChoice EngineRun::ChooseDecode() {
   PlacementQuery query;
   query.stage = ServerStage::kDecode;
@@ -168,10 +182,12 @@
     FailBeforeRun(ErrorCode::kNoBackend, "no usable decode server");
     return true;
   }
-  if (!choice.has_room || !choice.usable || !PrefillInTime()) {
+  bool in_time = PrefillInTime();
+  if (!choice.has_room || !choice.usable || !(in_time || ReadsInTime(choice))) {
     NoteWait(choice);
     return false;
   }
+  reads_itself_ = !in_time;
   memory_share_ = choice.memory_share;
   target_ = *choice.server;
   Reserve(target_->id);
@@ -225,7 +241,7 @@
 
 void EngineRun::Prefill() {
   PlacementChoice choice = ChoosePrefill();
-  if (choice.server == nullptr || prefills_ >= kMaxPrefills ||
+  if (reads_itself_ || choice.server == nullptr || prefills_ >= kMaxPrefills ||
       unreachable_ >= kMaxUnreachable) {
     Decode();
     return;
--- a/src/gateway/traffic/engine_run.h
+++ b/src/gateway/traffic/engine_run.h
@@ -31,6 +31,8 @@
   PlacementChoice ChoosePrefill();
   // Whether the prompt can be read before the first event is due.
   bool PrefillInTime();
+  // Whether the decode server can read the prompt itself in time.
+  bool ReadsInTime(const PlacementChoice& decode) const;
   // Whether `server` is still what it was when it was chosen.
   bool StillReady(const BackendServer& server) const;
   void TakeRoom(const BackendServer& server);
@@ -62,6 +64,7 @@
   uint64_t reservation_ = 0;             // Its memory; 0: none marked.
   std::optional<RoomHold> room_;         // Confirmed by the server.
   std::optional<PrefillHandle> handle_;  // Read and not yet taken.
+  bool reads_itself_ = false;            // The decode server reads the prompt.
   std::set<BackendId> failed_prefills_;
   int prefills_ = 0;     // Prefill calls that reached a server.
   int unreachable_ = 0;  // Servers that could not be connected.
