Let the never-reverts test see a short step back

Cause: OldReadsAndRestartsNeverRevert asked each instance for its revision every 50 ms; with 'take lower revisions' applied peers bring the newer plan back sooner, so it passed. It now reads the order of plan_in_force lines of each run of a process. With the code broken that way it fails, without it passes (one run each).

--- a/tests/integration/cluster.cc
+++ b/tests/integration/cluster.cc
@@ -473,6 +473,23 @@
          EngineSum("queued") == 0;
 }
 
+std::vector<std::vector<int64_t>> Cluster::RevisionsInForce(int index) const {
+  constexpr std::string_view kRevision = " revision=";
+  std::ifstream input(directory_ + "/entry" + std::to_string(index) + ".log");
+  std::vector<std::vector<int64_t>> runs;
+  for (std::string line; std::getline(input, line);) {
+    if (line.find(" event=started") != std::string::npos || runs.empty()) {
+      runs.emplace_back();
+    }
+    size_t at = line.find(kRevision);
+    if (line.find(" event=plan_in_force") != std::string::npos &&
+        at != std::string::npos) {
+      runs.back().push_back(std::stoll(line.substr(at + kRevision.size())));
+    }
+  }
+  return runs;
+}
+
 std::string Cluster::LogOf(const std::string& name) const {
   std::ifstream input(directory_ + "/" + name + ".log");
   std::ostringstream text;
--- a/tests/integration/cluster.h
+++ b/tests/integration/cluster.h
@@ -129,6 +129,9 @@
   // Whether all engines hold nothing.
   bool EnginesEmpty();
 
+  // Revisions that came into force at an entry, in order, one list for each
+  // run of its process.
+  std::vector<std::vector<int64_t>> RevisionsInForce(int index) const;
   // The last lines of a process's log, for messages.
   std::string LogOf(const std::string& name) const;
 
--- a/tests/integration/plan_test.cc
+++ b/tests/integration/plan_test.cc
@@ -1,6 +1,8 @@
 // An accepted plan is in force everywhere within seconds and never reverts.
 
 #include <gtest/gtest.h>
+
+#include <algorithm>
 #include <signal.h>
 
 #include <thread>
@@ -94,6 +96,14 @@
     }
     std::this_thread::sleep_for(Millis(50));
   }
+  // A short step back would not be seen from outside; the log has them all.
+  for (int entry = 0; entry < 3; ++entry) {
+    for (const auto& run : cluster.RevisionsInForce(entry)) {
+      EXPECT_TRUE(std::is_sorted(run.begin(), run.end()))
+          << cluster.LogOf("entry" + std::to_string(entry));
+    }
+  }
+  EXPECT_FALSE(cluster.RevisionsInForce(1).empty());
 }
 
 TEST(PlanTest, PartitionHealsForward) {
