Split the gateway's wiring; sum load reports as they come

The command line of both daemons and the parsing of log levels stood twice and stand once.

NewReportReplacesTheLastOneAndOldOnesGoAlone. No change of decisions.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -95,6 +95,16 @@
 
 }  // namespace
 
+LogLevel ParseLogLevel(std::string_view name) {
+  for (LogLevel level :
+       {LogLevel::kDebug, LogLevel::kWarning, LogLevel::kError}) {
+    if (LevelName(level) == name) {
+      return level;
+    }
+  }
+  return LogLevel::kInfo;
+}
+
 void InitLog(std::string_view instance, LogLevel level, LogSink sink) {
   InstanceName() = instance;
   MinimumLevel() = level;
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -12,6 +12,9 @@
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
+// "debug", "info", "warning" or "error"; info for anything else.
+LogLevel ParseLogLevel(std::string_view name);
+
 enum class LogSink {
   kStandardError,
   // Never waits for the reader: a line that does not fit in the pipe is left
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -4,10 +4,10 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
-#include <cxxopts.hpp>
 #include <future>
 #include <iostream>
 
+#include "base/command_line.h"
 #include "base/log.h"
 #include "base/supervisor.h"
 #include "daemon/control/admin/admin_api.h"
@@ -19,20 +19,8 @@
 namespace mangoyoke {
 namespace {
 
-constexpr int kExitSettings = 2;
-constexpr int kExitListen = 3;
 constexpr Duration kDrainPoll = Millis(50);
 
-LogLevel ParseLevel(const std::string& name) {
-  if (name == "debug") {
-    return LogLevel::kDebug;
-  }
-  if (name == "warning") {
-    return LogLevel::kWarning;
-  }
-  return name == "error" ? LogLevel::kError : LogLevel::kInfo;
-}
-
 // All parts of the process, in the order in which they depend on each other.
 class Daemon {
  public:
@@ -161,33 +149,22 @@
 };
 
 int Main(int argc, char** argv) {
-  cxxopts::Options parser("mangoyoked", "Router for prefill and decode pools");
-  std::string path;
-  parser.add_options()("settings", "INI file", cxxopts::value(path))(
-      "check-settings", "check the settings and exit")("help", "this help");
-  parser.parse_positional({"settings"});
-  cxxopts::ParseResult arguments;
-  try {
-    arguments = parser.parse(argc, argv);
-  } catch (const cxxopts::exceptions::exception& exception) {
-    std::cerr << "mangoyoked: " << exception.what() << "\n";
-    return kExitSettings;
-  }
-  if (arguments.count("help") > 0 || path.empty()) {
-    std::cout << parser.help();
-    return path.empty() && arguments.count("help") == 0 ? kExitSettings : 0;
+  DaemonCommand command = ParseDaemonCommand(
+      "mangoyoked", "Router for prefill and decode pools", argc, argv);
+  if (command.exit_code) {
+    return *command.exit_code;
   }
-  auto settings = LoadSettings(path);
+  auto settings = LoadSettings(command.settings_path);
   if (const auto* error = std::get_if<Error>(&settings)) {
     std::cerr << error->detail << "\n";
     return kExitSettings;
   }
-  if (arguments.count("check-settings") > 0) {
-    std::cout << path << ": settings are valid\n";
+  if (command.check_only) {
+    std::cout << command.settings_path << ": settings are valid\n";
     return 0;
   }
   const auto& valid = std::get<Settings>(settings);
-  InitLog(valid.id, ParseLevel(valid.log_level));
+  InitLog(valid.id, ParseLogLevel(valid.log_level));
   return Daemon(valid).Run();
 }
 
--- a/src/gateway/core/placement.h
+++ b/src/gateway/core/placement.h
@@ -28,7 +28,7 @@
 // What is known at the moment of the choice.
 struct PlacementView {
   const ServerView& servers;
-  const ServerLoad& load;
+  ServerLoad& load;
   const ServerHealth& health;
   const ServiceRule* service = nullptr;
   TimePoint now;
--- a/src/gateway/core/server_load.cc
+++ b/src/gateway/core/server_load.cc
@@ -2,6 +2,9 @@
 
 #include "gateway/core/server_load.h"
 
+#include <algorithm>
+#include <vector>
+
 namespace mangoyoke {
 
 LoadCharge& LoadCharge::operator+=(const LoadCharge& other) {
@@ -50,22 +53,58 @@
 void ServerLoad::Report(const InstanceId& entry,
                         LoadByServer load,
                         TimePoint now) {
-  reports_.insert_or_assign(entry, Reported{std::move(load), now});
+  DropReport(entry);
+  for (const auto& [server, charge] : load) {
+    reported_[server] += charge;
+  }
+  if (reports_.empty()) {
+    oldest_report_ = now;
+  }
+  reports_.emplace(entry, Reported{std::move(load), now});
 }
 
-LoadCharge ServerLoad::At(const BackendId& server, TimePoint now) const {
-  LoadCharge sum;
-  if (auto found = own_.find(server); found != own_.end()) {
-    sum = found->second;
+void ServerLoad::DropReport(const InstanceId& entry) {
+  auto found = reports_.find(entry);
+  if (found == reports_.end()) {
+    return;
+  }
+  for (const auto& [server, charge] : found->second.load) {
+    auto sum = reported_.find(server);
+    sum->second -= charge;
+    if (sum->second == LoadCharge{}) {
+      reported_.erase(sum);
+    }
+  }
+  reports_.erase(found);
+}
+
+void ServerLoad::DropOldReports(TimePoint now) {
+  if (now - oldest_report_ <= report_life_) {
+    return;
   }
+  std::vector<InstanceId> old;
+  oldest_report_ = now;
   for (const auto& [entry, report] : reports_) {
     if (now - report.at > report_life_) {
-      continue;
-    }
-    if (auto found = report.load.find(server); found != report.load.end()) {
-      sum += found->second;
+      old.push_back(entry);
+    } else {
+      oldest_report_ = std::min(oldest_report_, report.at);
     }
   }
+  for (const InstanceId& entry : old) {
+    DropReport(entry);
+  }
+}
+
+LoadCharge ServerLoad::At(const BackendId& server, TimePoint now) {
+  DropOldReports(now);
+  LoadCharge sum;
+  if (auto found = own_.find(server); found != own_.end()) {
+    sum = found->second;
+  }
+  if (auto found = reported_.find(server); found != reported_.end()) {
+    sum += found->second;
+  }
   return sum;
 }
 
--- a/src/gateway/core/server_load.h
+++ b/src/gateway/core/server_load.h
@@ -41,7 +41,7 @@
   void Report(const InstanceId& entry, LoadByServer load, TimePoint now);
 
   // All known work in flight at `server`.
-  LoadCharge At(const BackendId& server, TimePoint now) const;
+  LoadCharge At(const BackendId& server, TimePoint now);
   // This entry's own work, for reports.
   const LoadByServer& own() const { return own_; }
 
@@ -55,10 +55,15 @@
     TimePoint at;
   };
 
+  void DropReport(const InstanceId& entry);
+  void DropOldReports(TimePoint now);
+
   Duration report_life_;
   std::map<uint64_t, Charged> charges_;
   LoadByServer own_;  // Sum of charges_; servers without work are absent.
   std::map<InstanceId, Reported> reports_;
+  LoadByServer reported_;      // Sum of reports_.
+  TimePoint oldest_report_{};  // No report is older.
   uint64_t next_id_ = 1;
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,4 +1,4 @@
-// Wiring of the gateway's parts and its orderly stop.
+// The process of the gateway: both threads, signals and the orderly stop.
 
 #include "gateway/gateway.h"
 
@@ -6,31 +6,22 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
-#include <cxxopts.hpp>
 #include <filesystem>
 #include <future>
 #include <iostream>
 
+#include "base/command_line.h"
 #include "base/log.h"
 #include "base/periodic_timer.h"
 #include "base/supervisor.h"
-#include "gateway/control/control_handler.h"
-#include "gateway/control/serving_state.h"
-#include "gateway/control/store_client.h"
+#include "gateway/control/gateway_control.h"
+#include "gateway/net/sockets.h"
 #include "gateway/settings.h"
-#include "gateway/traffic/front_handler.h"
-#include "gateway/traffic/load_reporter.h"
-#include "membership/membership_service.h"
-#include "peer/peer_transport.h"
+#include "gateway/traffic/gateway_traffic.h"
 
 namespace mangoyoke {
 namespace {
 
-constexpr int kExitSettings = 2;
-constexpr int kExitListen = 3;
-// How long callers may use a list of entries. Short, because the entries of
-// one list change whenever an instance stops.
-constexpr Seconds kEntriesTtl{2};
 // After the signal to stop, new requests are taken until callers have asked
 // for entries again.
 constexpr Duration kLeaveNotice = Millis(2500);
@@ -38,240 +29,7 @@
 constexpr Duration kKillMargin = Millis(250);
 constexpr Duration kDrainPoll = Millis(50);
 constexpr Duration kSettingsPoll = Seconds(2);
-constexpr Duration kSweepInterval = Millis(500);
 
-LogLevel ParseLevel(const std::string& name) {
-  if (name == "debug") {
-    return LogLevel::kDebug;
-  }
-  if (name == "warning") {
-    return LogLevel::kWarning;
-  }
-  return name == "error" ? LogLevel::kError : LogLevel::kInfo;
-}
-
-std::string IpOf(const std::string& address) {
-  return address.substr(0, address.rfind(':'));
-}
-
-MemberRecord SelfRecord(const GatewaySettings& settings) {
-  MemberRecord record;
-  record.id = settings.id;
-  record.incarnation = static_cast<uint64_t>(WallMillis());
-  record.zone = settings.zone;
-  record.region = settings.region;
-  record.peer_address = settings.peers;
-  return record;
-}
-
-MembershipContext MakeMembershipContext(boost::asio::io_context& io,
-                                        const GatewaySettings& settings,
-                                        Metrics& metrics,
-                                        PeerClient& peers,
-                                        Membership& membership) {
-  MembershipSettings service;
-  service.known_peers = settings.known_peers;
-  service.own_addresses = {settings.peers};
-  return MembershipContext{io, std::move(service), metrics, peers, membership};
-}
-
-// All that runs on the control thread.
-class GatewayControl : public PeerHandler {
- public:
-  GatewayControl(boost::asio::io_context& io,
-                 const GatewaySettings& settings,
-                 const GatewayPorts& ports,
-                 Metrics& metrics)
-      : settings_(settings),
-        peer_client_(io),
-        peer_server_(io, *this),
-        membership_(SelfRecord(settings), MembershipOptions{}),
-        members_(MakeMembershipContext(io,
-                                       settings,
-                                       metrics,
-                                       peer_client_,
-                                       membership_)),
-        store_(io, settings.store, metrics),
-        state_(io, settings, ports.store, store_, peer_client_, metrics),
-        handler_(ports.callers,
-                 membership_,
-                 metrics,
-                 std::min<Duration>(kEntriesTtl, settings.longest_entries_ttl),
-                 [this] { return Ready(); }),
-        entries_(io, handler_),
-        ready_(io, handler_),
-        metrics_page_(io, handler_) {
-    state_.on_config.Add([this] { OnConfig(); });
-    state_.on_servers.Add([this] { UpdateEntry(); });
-    state_.other_instances = [this] { return OtherInstances(); };
-    members_.on_newer_plan.Add([this](const std::string& address, Revision) {
-      state_.PullFrom(address);
-    });
-  }
-
-  Result<Unit> Start() {
-    if (auto result = ListenAll(); !Ok(result)) {
-      return result;
-    }
-    state_.Start();
-    members_.Start();
-    return Unit{};
-  }
-
-  void Reload(const GatewaySettings& settings) {
-    store_.SetAddress(settings.store);
-    members_.AddKnown(settings.known_peers);
-  }
-
-  void Leave() {
-    leaving_ = true;
-    members_.Leave();
-  }
-
-  ServingState& state() { return state_; }
-  // "IP:port" of the other usable instances.
-  std::vector<std::string> OtherInstances() const {
-    std::vector<std::string> addresses;
-    for (const MemberRecord& record : membership_.All()) {
-      if (record.id != membership_.self().id && record.Usable()) {
-        addresses.push_back(record.peer_address);
-      }
-    }
-    return addresses;
-  }
-  Observers<const std::vector<InstanceId>&>& on_members() {
-    return members_.on_change;
-  }
-
-  void OnPeerRequest(const std::string& path,
-                     const Json& message,
-                     PeerResponder respond) override {
-    if (path == "/members/probe") {
-      respond(members_.OnProbe(message));
-    } else if (path == "/serving/pull") {
-      respond(state_.OnPull(message));
-    } else {
-      respond(Error{ErrorCode::kUnknownPath, path});
-    }
-  }
-
- private:
-  bool Ready() const {
-    return !leaving_ && state_.config() && state_.servers()->version > 0;
-  }
-
-  Result<Unit> ListenAll() {
-    if (!settings_.peers.empty()) {
-      if (auto result = peer_server_.Listen(settings_.peers); !Ok(result)) {
-        return result;
-      }
-    }
-    const std::pair<HttpListener&, const std::string&> listeners[] = {
-        {entries_, settings_.entries},
-        {ready_, settings_.ready},
-        {metrics_page_, settings_.metrics}};
-    for (const auto& [listener, address] : listeners) {
-      if (address.empty()) {
-        continue;
-      }
-      if (auto result = listener.Listen(address); !Ok(result)) {
-        return result;
-      }
-    }
-    return Unit{};
-  }
-
-  void OnConfig() {
-    members_.SetRevision(state_.config()->revision());
-    UpdateEntry();
-    members_.ProbeNow();
-  }
-
-  // Callers are sent here only once requests can be served.
-  void UpdateEntry() {
-    if (Ready()) {
-      membership_.SetCallerAddress(settings_.callers);
-    }
-  }
-
-  const GatewaySettings& settings_;
-  PeerClient peer_client_;
-  PeerServer peer_server_;
-  Membership membership_;
-  MembershipService members_;
-  StoreClient store_;
-  ServingState state_;
-  ControlHandler handler_;
-  HttpListener entries_;
-  HttpListener ready_;
-  HttpListener metrics_page_;
-  bool leaving_ = false;
-};
-
-// All that runs on the traffic thread.
-class GatewayTraffic {
- public:
-  GatewayTraffic(boost::asio::io_context& io,
-                 const GatewaySettings& settings,
-                 const GatewayPorts& ports,
-                 Metrics& metrics)
-      : settings_(settings),
-        context_(io,
-                 ports.callers,
-                 ports.backends,
-                 metrics,
-                 settings.repeat_budget),
-        handler_(context_),
-        front_(io, handler_),
-        reporter_(context_, settings.id),
-        sweep_timer_(io, kSweepInterval, [this] { Sweep(); }) {}
-
-  Result<Unit> Start() {
-    if (auto result = front_.Listen(settings_.callers);
-        !Ok(result) || settings_.load_port == 0) {
-      return result;
-    }
-    return reporter_.Start(IpOf(settings_.callers), settings_.load_port);
-  }
-  void SetConfig(std::shared_ptr<const ServingConfig> config) {
-    context_.config = std::move(config);
-  }
-  void SetServers(std::shared_ptr<const ServerView> servers) {
-    context_.servers = std::move(servers);
-    context_.health.KeepOnly(*context_.servers);
-  }
-  // The IPs of the other entries.
-  void SetOthers(const std::vector<std::string>& ips) {
-    context_.budget.SetEntries(ips.size() + 1, SteadyClock::now());
-    reporter_.SetOthers(ips);
-  }
-  void SetBudget(const RepeatBudgetOptions& options) {
-    context_.budget.SetOptions(options);
-  }
-  void Leave() { front_.Leave(); }
-  void Stop() { front_.Stop(); }
-  size_t open() const { return handler_.open(); }
-
- private:
-  void Sweep() {
-    std::set<std::string> addresses;
-    for (const auto& [id, server] : context_.servers->servers) {
-      addresses.insert(server.address);
-    }
-    context_.pool.Sweep([&addresses](const std::string& address) {
-      return addresses.contains(address);
-    });
-  }
-
-  const GatewaySettings& settings_;
-  TrafficContext context_;
-  FrontHandler handler_;
-  HttpListener front_;
-  LoadReporter reporter_;
-  PeriodicTimer sweep_timer_;
-};
-
-// The process: both threads, signals and the orderly stop.
 class Gateway {
  public:
   Gateway(GatewaySettings settings,
@@ -438,35 +196,23 @@
 }  // namespace
 
 int RunGateway(int argc, char** argv, const GatewayPorts& ports) {
-  cxxopts::Options parser("mangoyoke-gateway",
-                          "Router for prefill and decode pools");
-  std::string path;
-  parser.add_options()("settings", "INI file", cxxopts::value(path))(
-      "check-settings", "check the settings and exit")("help", "this help");
-  parser.parse_positional({"settings"});
-  cxxopts::ParseResult arguments;
-  try {
-    arguments = parser.parse(argc, argv);
-  } catch (const cxxopts::exceptions::exception& exception) {
-    std::cerr << "mangoyoke-gateway: " << exception.what() << "\n";
-    return kExitSettings;
-  }
-  if (arguments.count("help") > 0 || path.empty()) {
-    std::cout << parser.help();
-    return path.empty() && arguments.count("help") == 0 ? kExitSettings : 0;
+  DaemonCommand command = ParseDaemonCommand(
+      "mangoyoke-gateway", "Router for prefill and decode pools", argc, argv);
+  if (command.exit_code) {
+    return *command.exit_code;
   }
-  auto settings = LoadGatewaySettings(path);
+  auto settings = LoadGatewaySettings(command.settings_path);
   if (const auto* error = std::get_if<Error>(&settings)) {
     std::cerr << error->detail << "\n";
     return kExitSettings;
   }
-  if (arguments.count("check-settings") > 0) {
-    std::cout << path << ": settings are valid\n";
+  if (command.check_only) {
+    std::cout << command.settings_path << ": settings are valid\n";
     return 0;
   }
   const auto& valid = std::get<GatewaySettings>(settings);
-  InitLog(valid.id, ParseLevel(valid.log_level), LogSink::kStandardOutput);
-  return Gateway(valid, path, ports).Run();
+  InitLog(valid.id, ParseLogLevel(valid.log_level), LogSink::kStandardOutput);
+  return Gateway(valid, command.settings_path, ports).Run();
 }
 
 }  // namespace mangoyoke
--- a/src/gateway/net/sockets.cc
+++ b/src/gateway/net/sockets.cc
@@ -38,6 +38,10 @@
   return Tcp::endpoint(ip, port);
 }
 
+std::string IpOf(const std::string& address) {
+  return address.substr(0, address.rfind(':'));
+}
+
 void PrepareSocket(Tcp::socket& socket, Millis silence) {
   // A socket without these options still works; it only notices less.
   boost::system::error_code ignored;
--- a/src/gateway/net/sockets.h
+++ b/src/gateway/net/sockets.h
@@ -16,6 +16,9 @@
 // Parses "IP:port".
 Result<Tcp::endpoint> ParseEndpoint(const std::string& address);
 
+// The IP in "IP:port".
+std::string IpOf(const std::string& address);
+
 // Sends small writes at once, and lets the system break the connection when
 // written bytes stay unacknowledged for `silence` or an idle peer is silent.
 void PrepareSocket(Tcp::socket& socket, Millis silence);
--- /dev/null
+++ b/src/gateway/traffic/gateway_traffic.h
@@ -0,0 +1,57 @@
+// All that runs on the traffic thread, wired together.
+
+#ifndef MANGOYOKE_GATEWAY_TRAFFIC_GATEWAY_TRAFFIC_H_
+#define MANGOYOKE_GATEWAY_TRAFFIC_GATEWAY_TRAFFIC_H_
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/metrics.h"
+#include "base/periodic_timer.h"
+#include "gateway/gateway.h"
+#include "gateway/net/http_listener.h"
+#include "gateway/settings.h"
+#include "gateway/traffic/front_handler.h"
+#include "gateway/traffic/load_reporter.h"
+#include "gateway/traffic/traffic_context.h"
+
+namespace mangoyoke {
+
+class GatewayTraffic {
+ public:
+  // `settings` must outlive the object.
+  GatewayTraffic(boost::asio::io_context& io,
+                 const GatewaySettings& settings,
+                 const GatewayPorts& ports,
+                 Metrics& metrics);
+
+  Result<Unit> Start();
+  void SetConfig(std::shared_ptr<const ServingConfig> config);
+  void SetServers(std::shared_ptr<const ServerView> servers);
+  // The IPs of the other entries.
+  void SetOthers(const std::vector<std::string>& ips);
+  void SetBudget(const RepeatBudgetOptions& options);
+  // Answers tell callers from now on that their connection closes.
+  void Leave() { front_.Leave(); }
+  // Takes no new connections and closes idle ones.
+  void Stop() { front_.Stop(); }
+  // Requests under way.
+  size_t open() const { return handler_.open(); }
+
+ private:
+  // Closes connections that outlived their use.
+  void Sweep();
+
+  const GatewaySettings& settings_;
+  TrafficContext context_;
+  FrontHandler handler_;
+  HttpListener front_;
+  LoadReporter reporter_;
+  PeriodicTimer sweep_timer_;
+};
+
+}  // namespace mangoyoke
+
+#endif  // MANGOYOKE_GATEWAY_TRAFFIC_GATEWAY_TRAFFIC_H_
--- a/tests/unit/gateway_core_test.cc
+++ b/tests/unit/gateway_core_test.cc
@@ -133,6 +133,18 @@
   EXPECT_TRUE(load.own().empty());
 }
 
+TEST(ServerLoadTest, NewReportReplacesTheLastOneAndOldOnesGoAlone) {
+  ServerLoad load(Millis(400));
+  load.Report("x", {{"a", LoadCharge{2, 30, 40}}}, kStart);
+  load.Report("y", {{"a", LoadCharge{1, 0, 7}}}, kStart + Millis(300));
+  load.Report("x", {{"b", LoadCharge{5, 0, 0}}}, kStart + Millis(100));
+  EXPECT_EQ(load.At("a", kStart + Millis(301)), (LoadCharge{1, 0, 7}));
+  EXPECT_EQ(load.At("b", kStart + Millis(301)), (LoadCharge{5, 0, 0}));
+  EXPECT_EQ(load.At("b", kStart + Millis(501)), LoadCharge{});
+  EXPECT_EQ(load.At("a", kStart + Millis(501)), (LoadCharge{1, 0, 7}));
+  EXPECT_EQ(load.At("a", kStart + Millis(701)), LoadCharge{});
+}
+
 // Whatever part of the entries hear each other, all together stay within the
 // bound in each window.
 TEST(RepeatBudgetTest, EntriesTogetherStayWithinTheBound) {
