--- a/src/gateway/control/serving_state.cc
+++ b/src/gateway/control/serving_state.cc
@@ -59,7 +59,7 @@
 
 void ServingState::Start() {
   store_.on_answer.Add([this] { registry_.StoreAnswered(SteadyClock::now()); });
-  store_.on_failure.Add([this] { registry_.StoreFailed(SteadyClock::now()); });
+  store_.on_failure.Add([this] { registry_.StoreFailed(); });
   config_follower_.Start();
   server_follower_.Start();
   tick_timer_ = std::make_unique<PeriodicTimer>(io_, kTick, [this] { Tick(); });
--- a/src/gateway/core/backend_registry.cc
+++ b/src/gateway/core/backend_registry.cc
@@ -57,7 +57,7 @@
   Publish();
 }
 
-void BackendRegistry::StoreFailed(TimePoint) {
+void BackendRegistry::StoreFailed() {
   store_in_trouble_ = true;
 }
 
--- a/src/gateway/core/backend_registry.h
+++ b/src/gateway/core/backend_registry.h
@@ -39,7 +39,7 @@
              const std::vector<RegistryChange>& changes,
              TimePoint now);
   // A call to the store failed, or succeeded.
-  void StoreFailed(TimePoint now);
+  void StoreFailed();
   void StoreAnswered(TimePoint now);
   // Drops servers that did not come back in time. True if any was dropped.
   bool Tick(TimePoint now);
--- a/src/gateway/traffic/engine_run.h
+++ b/src/gateway/traffic/engine_run.h
@@ -21,6 +21,9 @@
   void GiveUpWaiting();
 
  private:
+  // Servers that may fail to be connected before a request is refused.
+  static constexpr int kMaxUnreachable = 4;
+
   void Begin() override;
   void DescribeEnd(LogEvent& line) const override;
 
--- a/src/gateway/traffic/request_run.h
+++ b/src/gateway/traffic/request_run.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 
+#include "base/log.h"
 #include "gateway/net/http_listener.h"
 #include "gateway/traffic/server_attempt.h"
 #include "gateway/traffic/traffic_context.h"
@@ -65,7 +66,7 @@
   // The longest time is over.
   virtual void OnTimeout();
   // Writes what the kind of run knows into its last log line.
-  virtual void DescribeEnd(class LogEvent& line) const;
+  virtual void DescribeEnd(LogEvent& line) const;
 
   Duration TimeLeft() const;
   Duration Age() const { return SteadyClock::now() - arrived_; }
--- a/tests/integration/plan_test.cc
+++ b/tests/integration/plan_test.cc
@@ -2,8 +2,8 @@
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
 #include <signal.h>
+#include <algorithm>
 
 #include <thread>
 
--- a/tests/unit/gateway_core_test.cc
+++ b/tests/unit/gateway_core_test.cc
@@ -82,7 +82,7 @@
 }
 
 TEST_F(RegistryTest, RowsThatLapseWithTheStoreAreKeptUntilTheyHadTime) {
-  registry_.StoreFailed(kStart);
+  registry_.StoreFailed();
   TimePoint back = kStart + Seconds(5);
   registry_.StoreAnswered(back);
   registry_.Apply(12, {{"a", std::nullopt}, {"b", std::nullopt}}, back);
@@ -95,10 +95,10 @@
 }
 
 TEST_F(RegistryTest, SecondOutageGivesLapsedServersTimeAgain) {
-  registry_.StoreFailed(kStart);
+  registry_.StoreFailed();
   registry_.StoreAnswered(kStart + Seconds(1));
   registry_.Apply(12, {{"a", std::nullopt}}, kStart + Seconds(1));
-  registry_.StoreFailed(kStart + Seconds(2));
+  registry_.StoreFailed();
   EXPECT_FALSE(registry_.Tick(kStart + Seconds(9)));
   registry_.StoreAnswered(kStart + Seconds(10));
   EXPECT_FALSE(registry_.Tick(kStart + Millis(11'900)));
@@ -109,7 +109,7 @@
   BackendServer leaving = MakeServer("a");
   leaving.state = ServerState::kLeaving;
   registry_.Apply(11, {{"a", leaving}}, kStart);
-  registry_.StoreFailed(kStart);
+  registry_.StoreFailed();
   registry_.Apply(12, {{"a", std::nullopt}}, kStart);
   EXPECT_FALSE(Has("a"));
 }
