Do not share out the fixed repeats again after a restart

All processes were killed at 34 s and started again. Each new process knows nothing of the repeats that its predecessor sent, so the fixed 156 and the common part were given out a second time in the same window while the five booking servers shed.

Change: a process gives out no fixed part until a window has passed since its start; only the share of requests that it sees itself. Load reports carry a number that tells processes of one entry apart, so that the others keep counting what a replaced process used.

Before: RepeatBudgetTest.ProcessesThatStartAgainDoNotShareTheFixedPartAgain counts 164 repeats where 138 are allowed. After: it passes.

--- a/src/gateway/core/repeat_budget.cc
+++ b/src/gateway/core/repeat_budget.cc
@@ -55,7 +55,7 @@
   double own_limit =
       kOwnPart *
       (options_.share * static_cast<double>(history.requests.size()) +
-       options_.fixed / static_cast<double>(Entries(now)));
+       Fixed(now) / static_cast<double>(Entries(now)));
   bool own_allows =
       static_cast<double>(history.repeats.size()) + 1 <= own_limit;
   if (!own_allows && !CommonAllows(service, history, now)) {
@@ -72,6 +72,7 @@
   size_t current = entries_.empty() ? 1 : entries_.back().second;
   RepeatCounts sum{static_cast<int64_t>(own.requests.size()),
                    static_cast<int64_t>(own.repeats.size())};
+  sum.repeats += RepeatsOfReplaced(service, now);
   for (const auto& [entry, report] : reports_) {
     if (now - report.at > options_.window) {
       continue;
@@ -87,14 +88,39 @@
   }
   double limit =
       kCommonPart *
-      (options_.share * static_cast<double>(sum.requests) + options_.fixed);
+      (options_.share * static_cast<double>(sum.requests) + Fixed(now));
   return heard >= current && static_cast<double>(sum.repeats) + 1 <= limit;
 }
 
 void RepeatBudget::Report(const InstanceId& entry,
+                          uint64_t incarnation,
                           std::map<ServiceId, RepeatCounts> counts,
                           TimePoint now) {
-  reports_.insert_or_assign(entry, Reported{std::move(counts), now});
+  while (!replaced_.empty() && now - replaced_.front().at > options_.window) {
+    replaced_.pop_front();
+  }
+  auto found = reports_.find(entry);
+  if (found != reports_.end() && found->second.incarnation != incarnation) {
+    replaced_.push_back(std::move(found->second));
+  }
+  reports_.insert_or_assign(entry,
+                            Reported{incarnation, std::move(counts), now});
+}
+
+double RepeatBudget::Fixed(TimePoint now) const {
+  return now - started_ > options_.window ? options_.fixed : 0;
+}
+
+int64_t RepeatBudget::RepeatsOfReplaced(const ServiceId& service,
+                                        TimePoint now) const {
+  int64_t repeats = 0;
+  for (const Reported& report : replaced_) {
+    auto found = report.counts.find(service);
+    if (found != report.counts.end() && now - report.at <= options_.window) {
+      repeats += found->second.repeats;
+    }
+  }
+  return repeats;
 }
 
 std::map<ServiceId, RepeatCounts> RepeatBudget::Own(TimePoint now) {
--- a/src/gateway/core/repeat_budget.h
+++ b/src/gateway/core/repeat_budget.h
@@ -3,6 +3,9 @@
 //
 // Each entry may always use its own part. The rest is common: it may be used
 // while recent reports of all other entries show that little of it is gone.
+//
+// A process that has just started does not know what its predecessor used, so
+// the fixed number is not shared out again until a window has passed.
 
 #ifndef MANGOYOKE_GATEWAY_CORE_REPEAT_BUDGET_H_
 #define MANGOYOKE_GATEWAY_CORE_REPEAT_BUDGET_H_
@@ -36,7 +39,9 @@
 
 class RepeatBudget {
  public:
-  explicit RepeatBudget(RepeatBudgetOptions options) : options_(options) {}
+  // `started`: when this process started.
+  RepeatBudget(RepeatBudgetOptions options, TimePoint started)
+      : options_(options), started_(started) {}
 
   void SetOptions(RepeatBudgetOptions options) { options_ = options; }
   // How many entries share the budget now, this one included. Those that went
@@ -46,8 +51,10 @@
   // Takes one repeat, if there is one.
   bool TryRepeat(const ServiceId& service, TimePoint now);
 
-  // Another entry's counts, in place of its last report.
+  // Another entry's counts, in place of its last report. `incarnation` tells
+  // its processes apart: what an earlier one used still counts.
   void Report(const InstanceId& entry,
+              uint64_t incarnation,
               std::map<ServiceId, RepeatCounts> counts,
               TimePoint now);
   // This entry's counts of the last window, for reports.
@@ -59,6 +66,7 @@
     std::deque<TimePoint> repeats;
   };
   struct Reported {
+    uint64_t incarnation = 0;
     std::map<ServiceId, RepeatCounts> counts;
     TimePoint at;
   };
@@ -68,12 +76,18 @@
                     const History& own,
                     TimePoint now) const;
 
-  RepeatBudgetOptions options_;
   size_t Entries(TimePoint now) const;
+  // Repeats besides the share of requests that all entries have now.
+  double Fixed(TimePoint now) const;
+  // Repeats of processes that were replaced within the window.
+  int64_t RepeatsOfReplaced(const ServiceId& service, TimePoint now) const;
 
+  RepeatBudgetOptions options_;
+  TimePoint started_;
   std::deque<std::pair<TimePoint, size_t>> entries_;  // Counts, as they came.
   std::map<ServiceId, History> own_;
   std::map<InstanceId, Reported> reports_;
+  std::deque<Reported> replaced_;  // Last reports of replaced processes.
 };
 
 }  // namespace mangoyoke
--- a/src/gateway/traffic/load_reporter.cc
+++ b/src/gateway/traffic/load_reporter.cc
@@ -22,7 +22,10 @@
 }  // namespace
 
 LoadReporter::LoadReporter(TrafficContext& context, InstanceId self)
-    : context_(context), self_(std::move(self)), socket_(context.io) {}
+    : context_(context),
+      self_(std::move(self)),
+      incarnation_(context.random()),
+      socket_(context.io) {}
 
 Result<Unit> LoadReporter::Start(const std::string& ip, uint16_t port) {
   port_ = port;
@@ -92,7 +95,7 @@
   for (const auto& [service, counts] : context_.budget.Own(now)) {
     repeats[service] = Json::array({counts.requests, counts.repeats});
   }
-  return Json::to_msgpack(Json::array({self_, servers, repeats}));
+  return Json::to_msgpack(Json::array({self_, servers, repeats, incarnation_}));
 }
 
 void LoadReporter::Receive() {
@@ -126,7 +129,8 @@
     }
     InstanceId sender = report.at(0).get<std::string>();
     context_.load.Report(sender, std::move(load), now);
-    context_.budget.Report(sender, std::move(repeats), now);
+    context_.budget.Report(sender, report.at(3).get<uint64_t>(),
+                           std::move(repeats), now);
   } catch (const Json::exception& exception) {
     context_.metrics.Count("mangoyoke_load_reports_malformed_total");
     LogEvent("load_report_malformed", LogLevel::kWarning)
--- a/src/gateway/traffic/load_reporter.h
+++ b/src/gateway/traffic/load_reporter.h
@@ -35,6 +35,7 @@
 
   TrafficContext& context_;
   InstanceId self_;
+  uint64_t incarnation_;  // Tells this process from its predecessors.
   Udp::socket socket_;
   uint16_t port_ = 0;
   std::vector<Udp::endpoint> others_;
--- a/src/gateway/traffic/traffic_context.cc
+++ b/src/gateway/traffic/traffic_context.cc
@@ -19,7 +19,8 @@
                                const CallerCodec& caller_codec,
                                const BackendCodec& backend_codec,
                                Metrics& process_metrics,
-                               RepeatBudgetOptions budget_options)
+                               RepeatBudgetOptions budget_options,
+                               TimePoint process_started)
     : io(io_context),
       callers(caller_codec),
       backends(backend_codec),
@@ -29,7 +30,7 @@
              return backend_codec.DecodeAnswer(head).request_id;
            }),
       load(kLoadReportLife),
-      budget(budget_options),
+      budget(budget_options, process_started),
       placement(
           std::make_unique<LeastTimePlacement>([this] { return Random(); })),
       servers(std::make_shared<ServerView>()) {}
--- a/src/gateway/traffic/traffic_context.h
+++ b/src/gateway/traffic/traffic_context.h
@@ -26,7 +26,8 @@
                  const CallerCodec& caller_codec,
                  const BackendCodec& backend_codec,
                  Metrics& process_metrics,
-                 RepeatBudgetOptions budget_options);
+                 RepeatBudgetOptions budget_options,
+                 TimePoint process_started);
   ~TrafficContext();
 
   // A number in [0, 1).
--- a/tests/unit/gateway_core_test.cc
+++ b/tests/unit/gateway_core_test.cc
@@ -14,6 +14,8 @@
 namespace {
 
 const TimePoint kStart = TimePoint() + Seconds(1000);
+// Before any window of the tests.
+const TimePoint kLongAgo = kStart - Seconds(500);
 
 RouteRule MakeRoute(const std::string& host, const std::string& prefix) {
   RouteRule route;
@@ -152,7 +154,8 @@
   constexpr int kRequests = 20;
   for (size_t connected = 0; connected <= kEntries; ++connected) {
     RepeatBudgetOptions options;
-    std::vector<RepeatBudget> budgets(kEntries, RepeatBudget(options));
+    std::vector<RepeatBudget> budgets(kEntries,
+                                      RepeatBudget(options, kLongAgo));
     for (RepeatBudget& budget : budgets) {
       budget.SetEntries(kEntries, kStart);
       for (int i = 0; i < kRequests; ++i) {
@@ -166,7 +169,7 @@
       for (size_t i = 0; i < kEntries; ++i) {
         repeats += budgets[i].TryRepeat("s", now) ? 1 : 0;
         for (size_t j = 0; j < connected; ++j) {
-          budgets[j].Report(std::to_string(i), budgets[i].Own(now), now);
+          budgets[j].Report(std::to_string(i), 1, budgets[i].Own(now), now);
         }
       }
     }
@@ -181,7 +184,7 @@
 TEST(RepeatBudgetTest, WhatDeadEntriesUsedStillCounts) {
   constexpr size_t kEntries = 3;
   RepeatBudgetOptions options;
-  std::vector<RepeatBudget> budgets(kEntries, RepeatBudget(options));
+  std::vector<RepeatBudget> budgets(kEntries, RepeatBudget(options, kLongAgo));
   int repeats = 0;
   for (size_t living = 0; living < kEntries; ++living) {
     TimePoint now = kStart + Seconds(3) * living;
@@ -189,7 +192,7 @@
       budgets[i].SetEntries(kEntries - living, now);
       for (size_t j = 0; j < kEntries; ++j) {
         if (j >= living && j != i) {
-          budgets[i].Report(std::to_string(j), budgets[j].Own(now), now);
+          budgets[i].Report(std::to_string(j), 1, budgets[j].Own(now), now);
         }
       }
     }
@@ -197,16 +200,63 @@
       ++repeats;
     }
     for (size_t i = living + 1; i < kEntries; ++i) {
-      budgets[i].Report(std::to_string(living), budgets[living].Own(now), now);
+      budgets[i].Report(std::to_string(living), 1, budgets[living].Own(now),
+                        now);
     }
   }
   EXPECT_LE(repeats, options.fixed);
 }
 
+// All processes are killed and start again: what the first ones used still
+// counts, and nobody knows it.
+TEST(RepeatBudgetTest, ProcessesThatStartAgainDoNotShareTheFixedPartAgain) {
+  constexpr size_t kEntries = 4;
+  constexpr int kRequests = 50;
+  RepeatBudgetOptions options;
+  int repeats = 0;
+  for (TimePoint started : {kLongAgo, kStart + Seconds(5)}) {
+    TimePoint now = std::max(started, kStart) + Seconds(1);
+    std::vector<RepeatBudget> budgets(kEntries, RepeatBudget(options, started));
+    for (size_t i = 0; i < kEntries; ++i) {
+      budgets[i].SetEntries(kEntries, now);
+      for (int request = 0; request < kRequests; ++request) {
+        budgets[i].NoteRequest("s", now);
+      }
+    }
+    for (size_t i = 0; i < kEntries; ++i) {
+      for (size_t j = 0; j < kEntries; ++j) {
+        if (j != i) {
+          budgets[i].Report(std::to_string(j), 1, budgets[j].Own(now), now);
+        }
+      }
+      while (budgets[i].TryRepeat("s", now)) {
+        ++repeats;
+      }
+    }
+  }
+  EXPECT_LE(repeats, options.share * kRequests * kEntries * 2 + options.fixed);
+}
+
+TEST(RepeatBudgetTest, WhatAReplacedProcessUsedStillCounts) {
+  RepeatBudgetOptions options;
+  RepeatBudget budget(options, kLongAgo);
+  budget.SetEntries(2, kStart);
+  std::map<ServiceId, RepeatCounts> used{{"s", RepeatCounts{0, 50}}};
+  budget.Report("other", 1, used, kStart);
+  TimePoint now = kStart + Millis(500);
+  budget.Report("other", 2, {}, now);
+  int repeats = 0;
+  while (budget.TryRepeat("s", now)) {
+    ++repeats;
+  }
+  // The own part alone: the common part is gone.
+  EXPECT_LE(repeats, options.fixed / 2 / 2);
+}
+
 TEST(RepeatBudgetTest, WindowSlides) {
   RepeatBudgetOptions options;
   options.fixed = 10;
-  RepeatBudget budget(options);
+  RepeatBudget budget(options, kLongAgo);
   int first = 0;
   while (budget.TryRepeat("s", kStart)) {
     ++first;
--- a/tests/unit/gateway_run_test.cc
+++ b/tests/unit/gateway_run_test.cc
@@ -26,11 +26,18 @@
 constexpr char kFront[] = "127.0.0.1:18940";
 constexpr int kFrontPort = 18940;
 constexpr int kFirstServerPort = 18941;
+// The process has run for longer than a window of the repeat budget.
+constexpr Duration kProcessAge = Seconds(60);
 
 class RunTest : public ::testing::Test {
  protected:
   RunTest()
-      : context_(io_, callers_, backends_, metrics_, RepeatBudgetOptions{}),
+      : context_(io_,
+                 callers_,
+                 backends_,
+                 metrics_,
+                 RepeatBudgetOptions{},
+                 SteadyClock::now() - kProcessAge),
         handler_(context_),
         front_(io_, handler_) {}
 
