Let repeats of callers wait longer for room, behind first tries

Change: each try says how long its caller still waits; one that waits for clearly less than others of its route has been here before. Such a request waits up to three targets, goes behind first tries, and leaves them a part of the memory (0.82 instead of 0.9 of an engine) and of the prefill queue.

--- a/src/gateway/core/admission_queue.cc
+++ b/src/gateway/core/admission_queue.cc
@@ -3,9 +3,23 @@
 #include "gateway/core/admission_queue.h"
 
 namespace mangoyoke {
+namespace {
 
-void AdmissionQueue::Add(uint64_t id, int priority, TimePoint leave_at) {
-  waiting_[id] = Waiting{priority, leave_at};
+// Whether `a` goes before `b`, which arrived earlier.
+bool NewerGoesFirst(const QueuedRequest& a, const QueuedRequest& b) {
+  if (a.priority != b.priority) {
+    return a.priority < b.priority;
+  }
+  if (a.late != b.late) {
+    return b.late;
+  }
+  return !a.late || a.leave_at < b.leave_at;
+}
+
+}  // namespace
+
+void AdmissionQueue::Add(uint64_t id, const QueuedRequest& request) {
+  waiting_[id] = request;
 }
 
 void AdmissionQueue::Remove(uint64_t id) {
@@ -26,15 +40,16 @@
 }
 
 std::optional<uint64_t> AdmissionQueue::Next() const {
-  std::optional<uint64_t> best;
-  int best_priority = 0;
-  for (auto it = waiting_.rbegin(); it != waiting_.rend(); ++it) {
-    if (!best || it->second.priority < best_priority) {
-      best = it->first;
-      best_priority = it->second.priority;
+  auto best = waiting_.end();
+  for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
+    if (best == waiting_.end() || NewerGoesFirst(it->second, best->second)) {
+      best = it;
     }
   }
-  return best;
+  if (best == waiting_.end()) {
+    return std::nullopt;
+  }
+  return best->first;
 }
 
 }  // namespace mangoyoke
--- a/src/gateway/core/admission_queue.h
+++ b/src/gateway/core/admission_queue.h
@@ -1,8 +1,9 @@
 // Requests that wait for room at an engine before anything was done for them.
 //
-// The newest goes first: under overload some requests miss their target
-// whatever the order, and with the oldest first all of them come close to it.
-// A request that can no longer meet its target leaves the queue.
+// Of requests that can still meet their target, the newest goes first: under
+// overload some miss it whatever the order, and with the oldest first all of
+// them come close to it. Requests that missed it on an earlier try wait behind
+// them for longer, and of these the one that leaves soonest goes first.
 
 #ifndef MANGOYOKE_GATEWAY_CORE_ADMISSION_QUEUE_H_
 #define MANGOYOKE_GATEWAY_CORE_ADMISSION_QUEUE_H_
@@ -16,24 +17,28 @@
 
 namespace mangoyoke {
 
+// What decides on the place of a request in the queue.
+struct QueuedRequest {
+  int priority = 0;    // 0 is the most urgent.
+  bool late = false;   // The target was missed on an earlier try.
+  TimePoint leave_at;  // From then on the request waits no longer.
+
+  bool operator==(const QueuedRequest&) const = default;
+};
+
 class AdmissionQueue {
  public:
-  // `leave_at`: from then on the request cannot meet its target.
-  void Add(uint64_t id, int priority, TimePoint leave_at);
+  // Ids rise with arrival.
+  void Add(uint64_t id, const QueuedRequest& request);
   void Remove(uint64_t id);
   // Takes out the requests that have to leave, oldest first.
   std::vector<uint64_t> TakeExpired(TimePoint now);
-  // The request to admit next: the most urgent, then the newest.
+  // The request to admit next.
   std::optional<uint64_t> Next() const;
   size_t size() const { return waiting_.size(); }
 
  private:
-  struct Waiting {
-    int priority = 0;  // 0 is the most urgent.
-    TimePoint leave_at;
-  };
-
-  std::map<uint64_t, Waiting> waiting_;  // Ids rise with arrival.
+  std::map<uint64_t, QueuedRequest> waiting_;
 };
 
 }  // namespace mangoyoke
--- a/src/gateway/core/placement.cc
+++ b/src/gateway/core/placement.cc
@@ -19,8 +19,6 @@
 constexpr double kStreamMs = 5;
 // Memory is full: the request waits for others to end.
 constexpr double kFullMs = 2000;
-// Memory beyond this share is left for running requests to grow into.
-constexpr double kMemoryShare = 0.9;
 // Costs this close count as equal.
 constexpr double kNoiseMs = 3;
 
@@ -51,7 +49,7 @@
                   const ServiceRule* service) {
   double cost = kStreamMs * static_cast<double>(load.requests) +
                 2 * PrefillMillis(load.prompt_tokens + query.prompt_tokens);
-  if (MemoryShare(load, query.kv_tokens, service) > kMemoryShare) {
+  if (MemoryShare(load, query.kv_tokens, service) > query.max_memory_share) {
     cost += kFullMs;
   }
   return cost;
@@ -110,7 +108,7 @@
                              cost,
                              load,
                              usable,
-                             after <= kMemoryShare,
+                             after <= query.max_memory_share,
                              MemoryShare(load, 0, view.service)};
       best_usable = usable;
       best_key = key;
--- a/src/gateway/core/placement.h
+++ b/src/gateway/core/placement.h
@@ -15,13 +15,18 @@
 
 namespace mangoyoke {
 
+// Memory beyond this share is left for running requests to grow into.
+inline constexpr double kMaxMemoryShare = 0.9;
+
 // What is chosen for.
 struct PlacementQuery {
   ServiceId service;
   ServerStage stage = ServerStage::kWhole;
   int64_t prompt_tokens = 0;
   int64_t kv_tokens = 0;  // Memory that the request will occupy.
-  ZoneId near;            // Preferred zone, where data has to travel from.
+  // Share of a server's memory that may be in use with this request.
+  double max_memory_share = kMaxMemoryShare;
+  ZoneId near;  // Preferred zone, where data has to travel from.
   std::set<BackendId> excluded;
 };
 
--- a/src/gateway/traffic/engine_admission.cc
+++ b/src/gateway/traffic/engine_admission.cc
@@ -18,9 +18,8 @@
 
 void EngineAdmission::Wait(const ServiceId& service,
                            uint64_t id,
-                           int priority,
-                           TimePoint leave_at) {
-  queues_[service].Add(id, priority, leave_at);
+                           const QueuedRequest& request) {
+  queues_[service].Add(id, request);
   Arm();
 }
 
--- a/src/gateway/traffic/engine_admission.h
+++ b/src/gateway/traffic/engine_admission.h
@@ -29,8 +29,7 @@
 
   void Wait(const ServiceId& service,
             uint64_t id,
-            int priority,
-            TimePoint leave_at);
+            const QueuedRequest& request);
   void Remove(const ServiceId& service, uint64_t id);
   size_t Waiting(const ServiceId& service) const;
 
--- a/src/gateway/traffic/engine_run.cc
+++ b/src/gateway/traffic/engine_run.cc
@@ -29,6 +29,15 @@
 constexpr double kFirstEventMs = 80;
 // Without a target, a request waits for room at most this long.
 constexpr Duration kLongestWait = Seconds(1);
+// A late request waits this many targets, or this part of the time left.
+// Callers leave a stream without events after four targets.
+constexpr double kLateWaitTargets = 3;
+constexpr double kLateWaitShare = 0.6;
+// Late requests leave this room to those that can still meet their target.
+constexpr double kLateMemoryShare = 0.82;
+// A late request's prompt is read when that takes at most this part of the
+// target, queue included.
+constexpr double kLatePrefillShare = 0.5;
 
 }  // namespace
 
@@ -81,21 +90,40 @@
 }
 
 void EngineRun::Begin() {
-  // Those that wait already go first unless this one is admitted at once.
-  if (!TryAdmit()) {
+  if (input_.facts.wait) {
+    Duration wait =
+        std::min<Duration>(*input_.facts.wait, input_.route->timeout);
+    spent_ = context_.patience.NoteWait(input_.route->id, wait);
+  }
+  late_ = MissedTarget();
+  bool others_wait = context_.admission->Waiting(input_.service) > 0;
+  if ((late_ && others_wait) || !TryAdmit()) {
     Wait();
   }
 }
 
+bool EngineRun::MissedTarget() const {
+  Duration target = input_.route->target_latency;
+  double first_event =
+      PrefillMillis(input_.facts.prompt_tokens) + kFirstEventMs;
+  return spent_ > Duration::zero() && target > Duration::zero() &&
+         spent_ + FromMillis(first_event) > target;
+}
+
 void EngineRun::Wait() {
   double prefill = PrefillMillis(input_.facts.prompt_tokens) + kFirstEventMs;
   Duration longest = kLongestWait;
-  if (input_.route->target_latency > Millis(0)) {
-    longest = input_.route->target_latency - FromMillis(prefill);
+  double target = ToMillis(input_.route->target_latency);
+  if (late_) {
+    longest = std::min(FromMillis(kLateWaitTargets * target),
+                       FromMillis(kLateWaitShare * ToMillis(TimeLeft())));
+  } else if (target > 0) {
+    longest = FromMillis(target - prefill);
   }
   TimePoint leave_at = SteadyClock::now() - Age() + longest;
-  context_.admission->Wait(input_.service, id(), input_.route->priority,
-                           leave_at);
+  context_.admission->Wait(
+      input_.service, id(),
+      QueuedRequest{input_.route->priority, late_, leave_at});
 }
 
 void EngineRun::GiveUpWaiting() {
@@ -123,12 +151,16 @@
   if (choice.server == nullptr || target == Duration::zero()) {
     return true;
   }
-  return Age() + FromMillis(choice.cost + kFirstEventMs) <= target;
+  Duration first_event = FromMillis(choice.cost + kFirstEventMs);
+  if (late_) {
+    return first_event <= FromMillis(kLatePrefillShare * ToMillis(target));
+  }
+  return Age() + first_event <= target;
 }
 
 bool EngineRun::ReadsInTime(const PlacementChoice& decode) const {
   // A second prompt at once would make the streams there pause for too long.
-  if (decode.load.prompt_tokens > 0) {
+  if (late_ || decode.load.prompt_tokens > 0) {
     return false;
   }
   double reading =
@@ -141,6 +173,9 @@
   PlacementQuery query;
   query.stage = ServerStage::kDecode;
   query.kv_tokens = KvTokens();
+  if (late_) {
+    query.max_memory_share = kLateMemoryShare;
+  }
   PlacementChoice choice = Place(query);
   if (choice.server == nullptr) {
     query.stage = ServerStage::kWhole;
@@ -161,6 +196,7 @@
       .Field("known_requests", choice.load.requests)
       .Field("needed_tokens", KvTokens())
       .Field("usable", static_cast<int64_t>(choice.usable))
+      .Field("spent_ms", ToMillis(spent_))
       .Field("waiting",
              static_cast<int64_t>(context_.admission->Waiting(input_.service)))
       .Field("registry", static_cast<int64_t>(context_.servers->version));
@@ -299,6 +335,7 @@
 void EngineRun::DescribeEnd(LogEvent& line) const {
   line.Field("prompt_tokens", input_.facts.prompt_tokens)
       .Field("max_output_tokens", input_.facts.max_output_tokens)
+      .Field("spent_ms", ToMillis(spent_))
       .Field("admitted_ms", admitted_ms_)
       .Field("prefill_ms", prefill_ms_)
       .Field("first_event_ms", first_event_ms_)
--- a/src/gateway/traffic/engine_run.h
+++ b/src/gateway/traffic/engine_run.h
@@ -27,6 +27,8 @@
   void Begin() override;
   void DescribeEnd(LogEvent& line) const override;
 
+  // Whether the target was out of reach when the request arrived.
+  bool MissedTarget() const;
   void Wait();
   // Logs, once, why the request is not admitted at once.
   void NoteWait(const PlacementChoice& choice);
@@ -62,6 +64,8 @@
   const EngineSpec* Engine() const;
 
   EventRelay relay_;
+  Duration spent_{};   // By the caller on earlier tries, by estimate.
+  bool late_ = false;  // The target was missed on an earlier try.
   bool waited_ = false;
   std::optional<BackendServer> target_;  // Decode server with room.
   uint64_t reservation_ = 0;             // Its memory; 0: none marked.
--- a/src/gateway/traffic/traffic_context.h
+++ b/src/gateway/traffic/traffic_context.h
@@ -9,6 +9,7 @@
 #include <random>
 
 #include "base/metrics.h"
+#include "gateway/core/caller_patience.h"
 #include "gateway/core/placement.h"
 #include "gateway/core/ports.h"
 #include "gateway/core/repeat_budget.h"
@@ -44,6 +45,7 @@
   ServerLoad load;
   ServerHealth health;
   RepeatBudget budget;
+  CallerPatience patience;
   std::unique_ptr<ServerPlacement> placement;
   // Null until the first one is known.
   std::shared_ptr<const ServingConfig> config;
--- a/tests/unit/gateway_core_test.cc
+++ b/tests/unit/gateway_core_test.cc
@@ -5,6 +5,7 @@
 
 #include "gateway/core/admission_queue.h"
 #include "gateway/core/backend_registry.h"
+#include "gateway/core/caller_patience.h"
 #include "gateway/core/event_relay.h"
 #include "gateway/core/placement.h"
 #include "gateway/core/repeat_budget.h"
@@ -349,10 +350,10 @@
 
 TEST(AdmissionQueueTest, NewestOfTheMostUrgentGoesFirst) {
   AdmissionQueue queue;
-  queue.Add(1, 1, kStart + Millis(500));
-  queue.Add(2, 0, kStart + Millis(600));
-  queue.Add(3, 0, kStart + Millis(700));
-  queue.Add(4, 2, kStart + Millis(800));
+  queue.Add(1, QueuedRequest{1, false, kStart + Millis(500)});
+  queue.Add(2, QueuedRequest{0, false, kStart + Millis(600)});
+  queue.Add(3, QueuedRequest{0, false, kStart + Millis(700)});
+  queue.Add(4, QueuedRequest{2, false, kStart + Millis(800)});
   EXPECT_EQ(queue.Next(), 3U);
   EXPECT_EQ(queue.TakeExpired(kStart + Millis(600)),
             (std::vector<uint64_t>{1, 2}));
@@ -360,6 +361,40 @@
   EXPECT_EQ(queue.Next(), 4U);
 }
 
+TEST(AdmissionQueueTest, LateRequestsGoLastAndTheSoonestToLeaveFirst) {
+  AdmissionQueue queue;
+  queue.Add(1, QueuedRequest{0, false, kStart + Millis(500)});
+  queue.Add(2, QueuedRequest{0, true, kStart + Millis(2000)});
+  queue.Add(3, QueuedRequest{0, true, kStart + Millis(1000)});
+  queue.Add(4, QueuedRequest{0, true, kStart + Millis(1500)});
+  EXPECT_EQ(queue.Next(), 1U);
+  queue.Remove(1);
+  EXPECT_EQ(queue.Next(), 3U);
+  queue.Remove(3);
+  EXPECT_EQ(queue.Next(), 4U);
+}
+
+TEST(CallerPatienceTest, ShorterWaitShowsARepeat) {
+  CallerPatience patience;
+  EXPECT_EQ(patience.NoteWait("r", Millis(14'000)), Duration::zero());
+  EXPECT_EQ(patience.NoteWait("r", Millis(12'400)), Duration::zero());
+  Duration spent = patience.NoteWait("r", Millis(11'000));
+  EXPECT_NEAR(ToMillis(spent), 3000, 100);
+  EXPECT_EQ(patience.NoteWait("r", Millis(14'000)), Duration::zero());
+  EXPECT_EQ(patience.NoteWait("other", Millis(4000)), Duration::zero());
+}
+
+TEST(CallerPatienceTest, OneOddCallerIsForgotten) {
+  CallerPatience patience;
+  patience.NoteWait("r", Millis(60'000));
+  int taken_for_repeats = 0;
+  while (patience.NoteWait("r", Millis(4000)) > Duration::zero()) {
+    ++taken_for_repeats;
+  }
+  EXPECT_GT(taken_for_repeats, 0);
+  EXPECT_LT(taken_for_repeats, 500);
+}
+
 TEST(EventRelayTest, OnlyWholeEventsPass) {
   EventRelay relay;
   EXPECT_EQ(relay.Push("id: 1\ndata: a\n"), "");
--- a/tests/unit/gateway_run_test.cc
+++ b/tests/unit/gateway_run_test.cc
@@ -76,7 +76,7 @@
     route.resumable = resumable;
     route.services = {{"s", 1}};
     context_.config = std::make_shared<ServingConfig>(
-        1, std::vector<RouteRule>{route}, std::vector<ServiceRule>{{"s"}},
+        1, std::vector<RouteRule>{route}, std::vector<ServiceRule>{service_},
         CallerLimits{});
     ServerView view;
     for (const auto& server : servers_) {
@@ -88,7 +88,8 @@
   }
 
   // Sends one request and returns all that comes back.
-  std::string Ask(const std::string& method = "POST") {
+  std::string Ask(const std::string& method = "POST",
+                  const std::string& headers = "") {
     boost::asio::io_context io;
     Tcp::socket socket(io);
     socket.connect(
@@ -96,8 +97,8 @@
     std::string request = method +
                           " /x HTTP/1.1\r\nHost: h\r\n"
                           "X-Mangoyoke-Request-Id: id-1\r\n"
-                          "X-Mangoyoke-Token-Counts: 900,100\r\n"
-                          "Connection: close\r\n\r\n";
+                          "X-Mangoyoke-Token-Counts: 900,100\r\n" +
+                          headers + "Connection: close\r\n\r\n";
     boost::asio::write(socket, boost::asio::buffer(request));
     std::string received;
     boost::system::error_code error;
@@ -118,6 +119,7 @@
   TrafficContext context_;
   FrontHandler handler_;
   HttpListener front_;
+  ServiceRule service_{"s"};
   std::vector<std::unique_ptr<FakeServer>> servers_;
   std::thread thread_;
 };
@@ -313,6 +315,26 @@
   EXPECT_EQ(servers_[0]->requests(), 0);
 }
 
+// A first try gives up while the target can be met at the next one; a caller
+// that comes back late waits until there is room.
+TEST_F(RunTest, RepeatWaitsLongerForRoomThanAFirstTry) {
+  AddServer(ServerStage::kPrefill, Reads("h1"));
+  AddServer(ServerStage::kDecode, Streams(io_, 1, 1, true));
+  service_.engine = EngineSpec{};
+  service_.engine->kv_tokens = 4000;
+  uint64_t busy = context_.load.Charge("server-1", LoadCharge{1, 0, 3900});
+  Serve(RequestKind::kStreaming, false, 1);
+  TimePoint start = SteadyClock::now();
+  EXPECT_TRUE(HasStatus(Ask("POST", "X-Mangoyoke-Deadline-Ms: 1400\r\n"), 429));
+  EXPECT_LT(SteadyClock::now() - start, Millis(400));
+  std::thread release([this, busy] {
+    std::this_thread::sleep_for(Millis(450));
+    boost::asio::post(io_, [this, busy] { context_.load.Release(busy); });
+  });
+  EXPECT_TRUE(HasStatus(Ask("POST", "X-Mangoyoke-Deadline-Ms: 900\r\n"), 200));
+  release.join();
+}
+
 TEST_F(RunTest, PrefillThatFailsIsRepeatedElsewhere) {
   AddServer(ServerStage::kPrefill, Resets());
   AddServer(ServerStage::kPrefill, Reads("h2"));
