Wait for room with a prompt that was read; ask for room sooner

Two reasons: below 0.6 of an engine's memory no room was reserved, though one request can be 0.45 of it; and after a refusal the prompt went to the next server whether it had room or not.

Change: room is reserved unless there is enough for three requests of that size. After a refusal a request looks for room again and waits with its handle, ahead of others, while the handle lasts; a server that had confirmed room and refuses shows that the handle is what is gone. Servers that only refused are not left out for the rest of the request. The time in the queue counts from the arrival, or a request that servers refuse again and again is held until its caller leaves.

--- a/src/gateway/core/admission_queue.cc
+++ b/src/gateway/core/admission_queue.cc
@@ -10,10 +10,10 @@
   if (a.priority != b.priority) {
     return a.priority < b.priority;
   }
-  if (a.late != b.late) {
-    return b.late;
+  if (a.rank != b.rank) {
+    return a.rank < b.rank;
   }
-  return !a.late || a.leave_at < b.leave_at;
+  return a.rank == QueueRank::kOnTime || a.leave_at < b.leave_at;
 }
 
 }  // namespace
--- a/src/gateway/core/admission_queue.h
+++ b/src/gateway/core/admission_queue.h
@@ -1,9 +1,10 @@
 // Requests that wait for room at an engine before anything was done for them.
 //
-// Of requests that can still meet their target, the newest goes first: under
-// overload some miss it whatever the order, and with the oldest first all of
-// them come close to it. Requests that missed it on an earlier try wait behind
-// them for longer, and of these the one that leaves soonest goes first.
+// Requests whose prompt was read already go first, since that work is lost
+// without room. Of those that can still meet their target, the newest goes
+// first: under overload some miss it whatever the order, and with the oldest
+// first all of them come close to it. Requests that missed it on an earlier try
+// wait behind them for longer.
 
 #ifndef MANGOYOKE_GATEWAY_CORE_ADMISSION_QUEUE_H_
 #define MANGOYOKE_GATEWAY_CORE_ADMISSION_QUEUE_H_
@@ -17,10 +18,16 @@
 
 namespace mangoyoke {
 
+enum class QueueRank {
+  kBegun,   // Work was done for it that would be lost.
+  kOnTime,  // It can meet its target.
+  kLate,    // It missed its target on an earlier try.
+};
+
 // What decides on the place of a request in the queue.
 struct QueuedRequest {
-  int priority = 0;    // 0 is the most urgent.
-  bool late = false;   // The target was missed on an earlier try.
+  int priority = 0;  // 0 is the most urgent.
+  QueueRank rank = QueueRank::kOnTime;
   TimePoint leave_at;  // From then on the request waits no longer.
 
   bool operator==(const QueuedRequest&) const = default;
--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -23,14 +23,7 @@
     SendDecode(*target);
     return;
   }
-  DropRoom();
-  PlacementChoice choice = ChooseDecode();
-  if (choice.server == nullptr) {
-    FailBeforeRun(ErrorCode::kNoBackend, "no usable decode server");
-    return;
-  }
-  memory_share_ = choice.memory_share;
-  SendDecode(*choice.server);
+  AdmitAgain();
 }
 
 Duration EngineRun::EventLimit() const {
@@ -57,6 +50,7 @@
   BackendCall call;
   call.kv = handle_;
   call.room = std::exchange(room_, std::nullopt);
+  room_confirmed_ = call.room.has_value();
   if (relay_.started()) {
     call.resume_after = relay_.last_id();
   }
@@ -113,10 +107,13 @@
 void EngineRun::OnDecodeEnd(const BackendServer& server,
                             AttemptOutcome outcome) {
   NoteOutcome(server, outcome, 0);
-  excluded_.insert(server.id);
+  if (!outcome.NotRun() || outcome.end == ExchangeEnd::kNotSent ||
+      outcome.answer.wrong_server) {
+    excluded_.insert(server.id);
+  }
   if (outcome.end == ExchangeEnd::kNotSent) {
     if (++unreachable_ < kMaxUnreachable) {
-      Decode();
+      AdmitAgain();
     } else {
       FailBeforeRun(ErrorCode::kNoBackend,
                     "no decode server could be connected");
@@ -152,12 +149,15 @@
     FailBeforeRun(ErrorCode::kNoBackend, "decode servers refused");
     return;
   }
-  // The memory may be what could not be had: after a second refusal the
-  // decode server reads the prompt itself.
-  if (decode_refusals_ > 1) {
+  // The server had room, so the prompt's memory is what could not be had.
+  if (room_confirmed_) {
+    DropHandle();
+  } else if (decode_refusals_ > 1) {
+    // Either may be missing: the decode server reads the prompt itself.
     DropHandle();
+    prefills_ = kMaxPrefills;
   }
-  Decode();
+  AdmitAgain();
 }
 
 void EngineRun::OnDecodeBroken(bool timed_out) {
@@ -169,12 +169,13 @@
                     resumes_ < kMaxResumes && TimeLeft() > Duration::zero();
   if (may_resume && TakeRepeat()) {
     ++resumes_;
+    leave_at_ = SteadyClock::now() + LongestWait();
     context_.metrics.Count("mangoyoke_resumes_total");
     LogEvent("stream_resume")
         .Field("request", input_.facts.id)
         .Field("after", relay_.last_id());
     prefills_ = 0;
-    Prefill();
+    AdmitAgain();
     return;
   }
   if (streaming_) {
--- a/src/gateway/traffic/engine_run.cc
+++ b/src/gateway/traffic/engine_run.cc
@@ -10,15 +10,18 @@
 namespace mangoyoke {
 namespace {
 
-// Prefill servers tried before the decode server reads the prompt itself.
-constexpr int kMaxPrefills = 2;
 // A prefill is given up beyond its estimate times this, plus a constant.
 constexpr double kPrefillPatience = 3;
 constexpr double kPrefillPatienceMs = 300;
 // Tokens that a stream generates while others decide by its memory.
 constexpr int64_t kGrowthTokens = 200;
-// Below this share of its memory in use, a server is sure to have room.
+// A server is sure to have room for a request if it has it for so many of its
+// size, since other entries may choose the server at the same time.
+constexpr int64_t kSureRoomRequests = 3;
+// Above this share of its memory in use, a server is never sure to have room.
 constexpr double kSureRoomShare = 0.6;
+// A handle is used until shortly before its server may drop it.
+constexpr Duration kHandleMargin = Millis(100);
 // A decode server reads prompts this many times slower than a prefill server.
 constexpr double kOwnReadingSlowness = 2;
 constexpr unsigned kNoRoom = 503;
@@ -96,6 +99,7 @@
     spent_ = context_.patience.NoteWait(input_.route->id, wait);
   }
   late_ = MissedTarget();
+  leave_at_ = SteadyClock::now() + LongestWait();
   bool others_wait = context_.admission->Waiting(input_.service) > 0;
   if ((late_ && others_wait) || !TryAdmit()) {
     Wait();
@@ -110,20 +114,40 @@
          spent_ + FromMillis(first_event) > target;
 }
 
-void EngineRun::Wait() {
-  double prefill = PrefillMillis(input_.facts.prompt_tokens) + kFirstEventMs;
-  Duration longest = kLongestWait;
+QueueRank EngineRun::Rank() const {
+  if (handle_ || resumes_ > 0) {
+    return QueueRank::kBegun;
+  }
+  return late_ ? QueueRank::kLate : QueueRank::kOnTime;
+}
+
+Duration EngineRun::LongestWait() const {
   double target = ToMillis(input_.route->target_latency);
-  if (late_) {
-    longest = std::min(FromMillis(kLateWaitTargets * target),
-                       FromMillis(kLateWaitShare * ToMillis(TimeLeft())));
-  } else if (target > 0) {
-    longest = FromMillis(target - prefill);
+  if (target <= 0) {
+    return kLongestWait;
   }
-  TimePoint leave_at = SteadyClock::now() - Age() + longest;
+  if (late_ || resumes_ > 0) {
+    return FromMillis(std::min(kLateWaitTargets * target,
+                               kLateWaitShare * ToMillis(TimeLeft())));
+  }
+  return FromMillis(target - PrefillMillis(input_.facts.prompt_tokens) -
+                    kFirstEventMs);
+}
+
+void EngineRun::Wait() {
+  TimePoint leave_at = handle_ ? std::max(leave_at_, handle_until_) : leave_at_;
   context_.admission->Wait(
       input_.service, id(),
-      QueuedRequest{input_.route->priority, late_, leave_at});
+      QueuedRequest{input_.route->priority, Rank(), leave_at});
+}
+
+void EngineRun::AdmitAgain() {
+  DropRoom();
+  Unreserve();
+  target_.reset();
+  if (!TryAdmit()) {
+    Wait();
+  }
 }
 
 void EngineRun::GiveUpWaiting() {
@@ -146,6 +170,9 @@
 }
 
 bool EngineRun::PrefillInTime() {
+  if (Rank() == QueueRank::kBegun) {
+    return true;
+  }
   PlacementChoice choice = ChoosePrefill();
   Duration target = input_.route->target_latency;
   if (choice.server == nullptr || target == Duration::zero()) {
@@ -173,7 +200,7 @@
   PlacementQuery query;
   query.stage = ServerStage::kDecode;
   query.kv_tokens = KvTokens();
-  if (late_) {
+  if (Rank() == QueueRank::kLate) {
     query.max_memory_share = kLateMemoryShare;
   }
   PlacementChoice choice = Place(query);
@@ -206,6 +233,7 @@
   if (ended_) {
     return true;
   }
+  DropExpiredHandle();
   PlacementChoice choice = ChooseDecode();
   if (choice.server == nullptr) {
     FailBeforeRun(ErrorCode::kNoBackend, "no usable decode server");
@@ -220,10 +248,7 @@
   memory_share_ = choice.memory_share;
   target_ = *choice.server;
   Reserve(target_->id);
-  const EngineSpec* engine = Engine();
-  bool sure = choice.memory_share < kSureRoomShare || engine == nullptr ||
-              engine->hold_life == Millis(0);
-  if (sure) {
+  if (SureOfRoom(choice)) {
     admitted_ms_ = ToMillis(Age());
     Prefill();
   } else {
@@ -232,6 +257,23 @@
   return true;
 }
 
+bool EngineRun::SureOfRoom(const PlacementChoice& choice) const {
+  const EngineSpec* engine = Engine();
+  if (engine == nullptr || engine->hold_life == Millis(0)) {
+    return true;  // There is no way to ask.
+  }
+  double room = kMaxMemoryShare * static_cast<double>(engine->kv_tokens) -
+                static_cast<double>(choice.load.kv_tokens);
+  return decode_refusals_ == 0 && choice.memory_share < kSureRoomShare &&
+         static_cast<double>(kSureRoomRequests * KvTokens()) <= room;
+}
+
+void EngineRun::DropExpiredHandle() {
+  if (handle_ && SteadyClock::now() >= handle_until_) {
+    DropHandle();
+  }
+}
+
 void EngineRun::TakeRoom(const BackendServer& server) {
   AttemptHandlers handlers;
   handlers.on_end = [this, server](AttemptOutcome outcome) {
@@ -260,18 +302,14 @@
   } else {
     NoteOutcome(server, outcome, 0);
   }
-  Unreserve();
-  target_.reset();
-  // Another server may have room; else wait.
-  if (!TryAdmit()) {
-    Wait();
-  }
+  // Another server may have room.
+  AdmitAgain();
 }
 
 void EngineRun::Prefill() {
   PlacementChoice choice = ChoosePrefill();
-  if (reads_itself_ || choice.server == nullptr || prefills_ >= kMaxPrefills ||
-      unreachable_ >= kMaxUnreachable) {
+  if (handle_ || reads_itself_ || choice.server == nullptr ||
+      prefills_ >= kMaxPrefills || unreachable_ >= kMaxUnreachable) {
     Decode();
     return;
   }
@@ -305,6 +343,7 @@
     auto decoded = context_.backends.DecodePrefill(server, outcome.body);
     if (auto* handle = std::get_if<PrefillHandle>(&decoded)) {
       handle_ = *handle;
+      handle_until_ = SteadyClock::now() + HandleLife();
       prefill_ms_ = ToMillis(outcome.took);
       Decode();
       return;
@@ -322,6 +361,14 @@
   Prefill();
 }
 
+Duration EngineRun::HandleLife() const {
+  const EngineSpec* engine = Engine();
+  if (engine == nullptr) {
+    return kLongestWait;
+  }
+  return std::max<Duration>(engine->handle_life - kHandleMargin, Millis(0));
+}
+
 void EngineRun::FailBeforeRun(ErrorCode code, std::string_view why) {
   if (streaming_) {
     BreakStream(ErrorCode::kBackendBroken, why);
--- a/src/gateway/traffic/engine_run.h
+++ b/src/gateway/traffic/engine_run.h
@@ -5,6 +5,7 @@
 #ifndef MANGOYOKE_GATEWAY_TRAFFIC_ENGINE_RUN_H_
 #define MANGOYOKE_GATEWAY_TRAFFIC_ENGINE_RUN_H_
 
+#include "gateway/core/admission_queue.h"
 #include "gateway/core/event_relay.h"
 #include "gateway/traffic/request_run.h"
 
@@ -23,19 +24,29 @@
  private:
   // Servers that may fail to be connected before a request is refused.
   static constexpr int kMaxUnreachable = 4;
+  // Prefill servers tried before the decode server reads the prompt itself.
+  static constexpr int kMaxPrefills = 2;
 
   void Begin() override;
   void DescribeEnd(LogEvent& line) const override;
 
   // Whether the target was out of reach when the request arrived.
   bool MissedTarget() const;
+  QueueRank Rank() const;
+  // How long the request may wait for room from now on.
+  Duration LongestWait() const;
   void Wait();
+  // Looks for a decode server again, after the chosen one failed the request.
+  void AdmitAgain();
   // Logs, once, why the request is not admitted at once.
   void NoteWait(const PlacementChoice& choice);
   PlacementChoice ChooseDecode();
   PlacementChoice ChoosePrefill();
-  // Whether the prompt can be read before the first event is due.
+  // Whether the prompt is read, or can be before the first event is due.
   bool PrefillInTime();
+  // Whether the server is sure to have room although others may choose it too.
+  bool SureOfRoom(const PlacementChoice& choice) const;
+  void DropExpiredHandle();
   // Whether the decode server can read the prompt itself in time.
   bool ReadsInTime(const PlacementChoice& decode) const;
   // Whether `server` is still what it was when it was chosen.
@@ -46,6 +57,8 @@
   void Prefill();
   void OnPrefillEnd(const BackendServer& server, AttemptOutcome outcome);
   void DropHandle();
+  // How long after a prefill its handle may be used.
+  Duration HandleLife() const;
   void Decode();
   void SendDecode(const BackendServer& server);
   bool OnDecodeHead(const http::response_header<>& head,
@@ -64,18 +77,21 @@
   const EngineSpec* Engine() const;
 
   EventRelay relay_;
-  Duration spent_{};   // By the caller on earlier tries, by estimate.
-  bool late_ = false;  // The target was missed on an earlier try.
+  Duration spent_{};    // By the caller on earlier tries, by estimate.
+  bool late_ = false;   // The target was missed on an earlier try.
+  TimePoint leave_at_;  // Until then the request may wait for room.
   bool waited_ = false;
   std::optional<BackendServer> target_;  // Decode server with room.
   uint64_t reservation_ = 0;             // Its memory; 0: none marked.
   std::optional<RoomHold> room_;         // Confirmed by the server.
   std::optional<PrefillHandle> handle_;  // Read and not yet taken.
+  TimePoint handle_until_;               // handle_ is kept at least until then.
   bool reads_itself_ = false;            // The decode server reads the prompt.
   std::set<BackendId> failed_prefills_;
   int prefills_ = 0;     // Prefill calls that reached a server.
   int unreachable_ = 0;  // Servers that could not be connected.
   int decode_refusals_ = 0;
+  bool room_confirmed_ = false;  // By the server of the last decode send.
   int resumes_ = 0;
   double admitted_ms_ = 0;
   double prefill_ms_ = 0;
