--- a/src/gateway/traffic/plain_run.cc
+++ b/src/gateway/traffic/plain_run.cc
@@ -34,6 +34,7 @@
     EndSilently("caller_gone");
   }
   // Else it may be running: it ends by itself, and its answer goes nowhere.
+  caller_gone_ = true;
 }
 
 Duration PlainRun::SendLimit() const {
@@ -76,6 +77,10 @@
 
 void PlainRun::OnSendEnd(const BackendServer& server, AttemptOutcome outcome) {
   NoteOutcome(server, outcome, 0);
+  if (caller_gone_) {
+    EndSilently("caller_gone");
+    return;
+  }
   excluded_.insert(server.id);
   if (outcome.end == ExchangeEnd::kNotSent) {
     if (++unreachable_ < kMaxUnreachable && TimeLeft() > Duration::zero()) {
--- a/src/gateway/traffic/plain_run.h
+++ b/src/gateway/traffic/plain_run.h
@@ -21,7 +21,8 @@
   void SendAgainOr(ErrorCode code, std::string_view why);
   Duration SendLimit() const;
 
-  int unreachable_ = 0;  // Servers that could not be connected.
+  int unreachable_ = 0;       // Servers that could not be connected.
+  bool caller_gone_ = false;  // Nothing is sent any more.
   std::optional<AttemptOutcome> last_answer_;  // A failure that a server gave.
 };
 
--- a/tests/unit/gateway_run_test.cc
+++ b/tests/unit/gateway_run_test.cc
@@ -452,5 +452,36 @@
   EXPECT_TRUE(left);
 }
 
+// What may be running is not cut off, but nothing is sent any more.
+TEST_F(RunTest, NothingIsSentAgainForACallerThatLeft) {
+  auto rejects_late = [this](const HttpRequest& request, auto exchange) {
+    auto timer = std::make_shared<boost::asio::steady_timer>(io_, Millis(150));
+    timer->async_wait(
+        [timer, request, exchange](const boost::system::error_code&) {
+          Rejects()(request, exchange);
+        });
+  };
+  AddServer(ServerStage::kWhole, rejects_late);
+  AddServer(ServerStage::kWhole, rejects_late);
+  Serve(RequestKind::kNonIdempotent, false, 1);
+  {
+    boost::asio::io_context io;
+    Tcp::socket socket(io);
+    socket.connect(
+        Tcp::endpoint(boost::asio::ip::address_v4::loopback(), kFrontPort));
+    boost::asio::write(
+        socket,
+        boost::asio::buffer(std::string("POST /x HTTP/1.1\r\nHost: h\r\n"
+                                        "X-Mangoyoke-Request-Id: id-1\r\n"
+                                        "Content-Length: 0\r\n\r\n")));
+    std::this_thread::sleep_for(Millis(50));
+  }
+  for (int i = 0; i < 100 && OpenRuns() > 0; ++i) {
+    std::this_thread::sleep_for(Millis(10));
+  }
+  EXPECT_EQ(OpenRuns(), 0U);
+  EXPECT_EQ(servers_[0]->requests() + servers_[1]->requests(), 1);
+}
+
 }  // namespace
 }  // namespace mangoyoke
