--- a/src/gateway/traffic/engine_run.cc
+++ b/src/gateway/traffic/engine_run.cc
@@ -166,6 +166,9 @@
   query.stage = ServerStage::kPrefill;
   query.prompt_tokens = input_.facts.prompt_tokens;
   query.excluded = failed_prefills_;
+  if (target_) {
+    query.near = target_->zone;  // The memory moves there.
+  }
   return Place(query);
 }
 
