Follow servers with calls of eight seconds

Most are follow calls that end after 1.8 s without a change, two in parallel for each entry.

Change: only the call for configurations stays short, since it shows that the store is silent. The one for servers waits 8 s; it is asked anew once the store answers again, because a call that the store held may never be answered. Dead connections are found by TCP keep-alive within 3 s as before.

ServerChangesAreSeenSoonAfterASilentStoreIsBack fails without the new follow call.

--- a/src/gateway/control/serving_state.cc
+++ b/src/gateway/control/serving_state.cc
@@ -13,6 +13,12 @@
 // While the store does not answer, others are asked every so many ticks.
 constexpr int kTicksBetweenPulls = 3;
 constexpr Millis kPullTimeout{500};
+// How long the store may hold a call for a new configuration. Short enough to
+// find a silent connection before a change has to be in force.
+constexpr Millis kConfigWait{1800};
+// The same for servers. Longer, since each call costs: a silent store is found
+// by the calls for configurations, a dead connection by its keep-alive probes.
+constexpr Millis kServerWait{8000};
 // Server changes are collected this long, so that many share one call.
 constexpr Duration kServerPace = Millis(350);
 
@@ -34,7 +40,8 @@
           io,
           store,
           codec,
-          TableFollowerOptions{codec.ConfigTable(), Duration::zero()},
+          TableFollowerOptions{codec.ConfigTable(), kConfigWait,
+                               Duration::zero()},
           [this](const std::vector<StoreRow>& rows, uint64_t) {
             for (const StoreRow& row : rows) {
               TakeConfigRow(row, "store");
@@ -49,7 +56,7 @@
           io,
           store,
           codec,
-          TableFollowerOptions{codec.ServerTable(), kServerPace},
+          TableFollowerOptions{codec.ServerTable(), kServerWait, kServerPace},
           [this](const std::vector<StoreRow>& rows, uint64_t version) {
             TakeAllServers(rows, version);
           },
@@ -60,6 +67,7 @@
 void ServingState::Start() {
   store_.on_answer.Add([this] { registry_.StoreAnswered(SteadyClock::now()); });
   store_.on_failure.Add([this] { registry_.StoreFailed(); });
+  store_.on_regained.Add([this] { server_follower_.FollowAgain(); });
   config_follower_.Start();
   server_follower_.Start();
   tick_timer_ = std::make_unique<PeriodicTimer>(io_, kTick, [this] { Tick(); });
--- a/src/gateway/control/store_client.cc
+++ b/src/gateway/control/store_client.cc
@@ -31,34 +31,42 @@
 
 StoreClient::~StoreClient() = default;
 
-void StoreClient::Call(HttpRequest request, Duration limit, Callback callback) {
+uint64_t StoreClient::Call(HttpRequest request,
+                           Duration limit,
+                           Callback callback) {
   uint64_t id = next_id_++;
   metrics_.Count("mangoyoke_store_calls_total");
   ExchangeHandlers handlers;
   handlers.on_end = [this, id,
                      callback = std::move(callback)](ExchangeOutcome outcome) {
-    Ended(id, outcome);
-    callback(std::move(outcome));
+    Ended(id, std::move(outcome), callback);
   };
   auto& call = *calls_.emplace(id, std::make_unique<TimedExchange>(io_, pool_))
                     .first->second;
   call.Start(address_, std::move(request), "", false, limit,
              std::move(handlers));
+  return id;
 }
 
-void StoreClient::Ended(uint64_t id, const ExchangeOutcome& outcome) {
+void StoreClient::Ended(uint64_t id,
+                        ExchangeOutcome outcome,
+                        const Callback& callback) {
   boost::asio::post(io_, [this, id] { calls_.erase(id); });
   bool answered = Answered(outcome);
-  SetReachable(answered, outcome);
+  bool changed = SetReachable(answered, outcome);
   (answered ? on_answer : on_failure).Notify();
+  callback(std::move(outcome));
+  if (answered && changed) {
+    on_regained.Notify();
+  }
 }
 
-void StoreClient::SetReachable(bool reachable, const ExchangeOutcome& outcome) {
+bool StoreClient::SetReachable(bool reachable, const ExchangeOutcome& outcome) {
   if (!reachable) {
     metrics_.Count("mangoyoke_store_failures_total");
   }
   if (std::exchange(reachable_, reachable) == reachable) {
-    return;
+    return false;
   }
   LogEvent line(reachable ? "store_regained" : "store_lost",
                 LogLevel::kWarning);
@@ -67,6 +75,7 @@
   if (outcome.head) {
     line.Field("status", static_cast<int64_t>(outcome.head->result_int()));
   }
+  return true;
 }
 
 }  // namespace mangoyoke
--- a/src/gateway/control/store_client.h
+++ b/src/gateway/control/store_client.h
@@ -24,9 +24,11 @@
               Metrics& metrics);
   ~StoreClient();
 
-  // Sends `request` once. `callback` is called once, unless the client is
-  // destroyed first.
-  void Call(HttpRequest request, Duration limit, Callback callback);
+  // Sends `request` once. `callback` is called once, unless the call is
+  // cancelled or the client destroyed first. Returns the call's id.
+  uint64_t Call(HttpRequest request, Duration limit, Callback callback);
+  // Ends the call without an answer.
+  void Cancel(uint64_t id) { calls_.erase(id); }
   // Calls go to `address` from now on.
   void SetAddress(const std::string& address) { address_ = address; }
 
@@ -35,10 +37,13 @@
   // Fired at every answer, and at every call without one.
   Observers<> on_answer;
   Observers<> on_failure;
+  // Fired when the store answers after a call without an answer.
+  Observers<> on_regained;
 
  private:
-  void Ended(uint64_t id, const ExchangeOutcome& outcome);
-  void SetReachable(bool reachable, const ExchangeOutcome& outcome);
+  void Ended(uint64_t id, ExchangeOutcome outcome, const Callback& callback);
+  // Returns whether that changed.
+  bool SetReachable(bool reachable, const ExchangeOutcome& outcome);
 
   boost::asio::io_context& io_;
   std::string address_;
--- a/src/gateway/control/table_follower.cc
+++ b/src/gateway/control/table_follower.cc
@@ -9,10 +9,7 @@
 namespace mangoyoke {
 namespace {
 
-// How long the store may hold a call for changes. Short enough to find a
-// silent connection before a change has to be in force.
-constexpr Millis kFollowWait{1800};
-// Beyond that, until the call counts as lost.
+// Beyond the time that the store may hold a call, until it counts as lost.
 constexpr Duration kAnswerTime = Millis(700);
 constexpr Duration kReadLimit = Millis(1500);
 constexpr Duration kFirstBackoff = Millis(80);
@@ -90,10 +87,19 @@
 }
 
 void TableFollower::Follow() {
-  store_.Call(codec_.EncodeFollow(options_.table, version_, kFollowWait),
-              kFollowWait + kAnswerTime, [this](ExchangeOutcome outcome) {
-                OnFollowed(std::move(outcome));
-              });
+  follow_call_ =
+      store_.Call(codec_.EncodeFollow(options_.table, version_, options_.wait),
+                  options_.wait + kAnswerTime, [this](ExchangeOutcome outcome) {
+                    follow_call_ = 0;
+                    OnFollowed(std::move(outcome));
+                  });
+}
+
+void TableFollower::FollowAgain() {
+  if (follow_call_ != 0) {
+    store_.Cancel(follow_call_);
+    Follow();
+  }
 }
 
 void TableFollower::OnFollowed(ExchangeOutcome outcome) {
--- a/src/gateway/control/table_follower.h
+++ b/src/gateway/control/table_follower.h
@@ -17,6 +17,8 @@
 
 struct TableFollowerOptions {
   std::string table;
+  // How long the store may hold a call for changes.
+  Millis wait{};
   // Pause after changes came, so that many changes share one call.
   Duration pace{};
 };
@@ -35,6 +37,8 @@
                 RowsCallback on_changes);
 
   void Start() { ReadPage(""); }
+  // Asks for changes anew; a call under way may never be answered.
+  void FollowAgain();
 
  private:
   void ReadPage(const std::string& from);
@@ -54,8 +58,9 @@
   std::minstd_rand random_{std::random_device{}()};
   std::vector<StoreRow> pages_;  // Rows of the reading under way.
   uint64_t first_page_version_ = 0;
-  uint64_t version_ = 0;  // Everything up to here was handed out.
-  int failures_ = 0;      // In a row.
+  uint64_t version_ = 0;      // Everything up to here was handed out.
+  int failures_ = 0;          // In a row.
+  uint64_t follow_call_ = 0;  // The call that waits for changes; 0: none.
 };
 
 }  // namespace mangoyoke
--- a/tests/support/fake_store.cc
+++ b/tests/support/fake_store.cc
@@ -51,6 +51,14 @@
   }
 }
 
+void FakeStore::ForgetWaiting() {
+  for (Waiting& call : waiting_) {
+    call.timer->cancel();
+    forgotten_.push_back(std::move(call.exchange));
+  }
+  waiting_.clear();
+}
+
 bool FakeStore::HasChanges(const std::string& table, uint64_t after) const {
   auto found = tables_.find(table);
   if (found == tables_.end()) {
@@ -132,6 +140,10 @@
         HttpResponse(http::status::service_unavailable, kHttpVersion));
     return;
   }
+  if (silent_) {
+    unanswered_.push_back(std::move(exchange));
+    return;
+  }
   std::string target(request.target());
   std::string table = QueryValue(target, "Table");
   if (target.starts_with("/v1/rows-get")) {
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -28,6 +28,8 @@
            std::optional<std::string> value);
   // Forgets the history: feeds from before now get 410.
   void DropHistory() { oldest_ = version_; }
+  // Calls that wait for changes now are never answered.
+  void ForgetWaiting();
 
  private:
   friend class FakeStoreDoor;
@@ -55,6 +57,8 @@
   uint64_t oldest_ = 0;
   std::map<std::string, std::map<std::string, Row>> tables_;
   std::list<Waiting> waiting_;
+  // Open but never answered.
+  std::vector<std::shared_ptr<Exchange>> forgotten_;
 };
 
 // One address of the store. Each can refuse its callers by itself.
@@ -66,6 +70,8 @@
 
   // While set, all calls get 503.
   void SetRefusing(bool refusing) { refusing_ = refusing; }
+  // While set, calls are read and not answered.
+  void SetSilent(bool silent) { silent_ = silent; }
 
   void OnRequest(HttpRequest request,
                  std::shared_ptr<Exchange> exchange) override;
@@ -76,6 +82,8 @@
   FakeStore& store_;
   HttpListener listener_;
   bool refusing_ = false;
+  bool silent_ = false;
+  std::vector<std::shared_ptr<Exchange>> unanswered_;
 };
 
 }  // namespace mangoyoke
--- /dev/null
+++ b/tests/unit/serving_state_test.cc
@@ -0,0 +1,77 @@
+// What an entry knows of configurations and servers, on a store stand-in.
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <nlohmann/json.hpp>
+
+#include "gateway/control/serving_state.h"
+#include "platform/store_codec.h"
+#include "tests/support/fake_store.h"
+
+namespace mangoyoke {
+namespace {
+
+constexpr char kStore[] = "127.0.0.1:18971";
+
+class ServingStateTest : public ::testing::Test {
+ protected:
+  ServingStateTest()
+      : door_(io_, store_, kStore),
+        client_(io_, kStore, metrics_),
+        peers_(io_),
+        state_(io_, settings_, codec_, client_, peers_, metrics_) {}
+
+  void PutServer(const std::string& id) {
+    store_.Put("servers", id,
+               nlohmann::json{{"Service", "s"},
+                              {"Address", "127.0.0.1:1"},
+                              {"Zone", "z"},
+                              {"Version", "v1"},
+                              {"Slots", 1},
+                              {"State", "ready"},
+                              {"ColdRemainingMs", 0},
+                              {"Seq", 1}}
+                   .dump());
+  }
+
+  // Runs the event loop until `done`, for at most `limit`.
+  bool RunUntil(Duration limit, const std::function<bool()>& done) {
+    TimePoint end = SteadyClock::now() + limit;
+    while (!done() && SteadyClock::now() < end) {
+      io_.run_for(Millis(10));
+    }
+    return done();
+  }
+
+  size_t Servers() const { return state_.servers()->servers.size(); }
+
+  boost::asio::io_context io_{1};
+  GatewaySettings settings_;
+  Metrics metrics_;
+  platform::PlatformStoreCodec codec_;
+  FakeStore store_{io_};
+  FakeStoreDoor door_;
+  StoreClient client_;
+  PeerClient peers_;
+  ServingState state_;
+};
+
+// The store falls silent and then serves again, but never answers the calls
+// that it held.
+TEST_F(ServingStateTest, ServerChangesAreSeenSoonAfterASilentStoreIsBack) {
+  PutServer("a");
+  state_.Start();
+  ASSERT_TRUE(RunUntil(Seconds(1), [this] { return Servers() == 1; }));
+  RunUntil(Millis(100), [] { return false; });
+  store_.ForgetWaiting();
+  door_.SetSilent(true);
+  ASSERT_TRUE(RunUntil(Seconds(4), [this] { return !client_.reachable(); }));
+  PutServer("b");
+  door_.SetSilent(false);
+  EXPECT_TRUE(RunUntil(Seconds(3), [this] { return Servers() == 2; }));
+}
+
+}  // namespace
+}  // namespace mangoyoke
