Serve latency histograms with buckets

Change: buckets by Boost.Histogram, count and sum by Boost.Accumulators. New: time in the queue, prefill, longest pause of a stream (also in its last log line).

--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -1,4 +1,4 @@
-// Implementation of the metrics on Boost.Accumulators.
+// Implementation of the metrics on Boost.Accumulators and Boost.Histogram.
 
 #include "base/metrics.h"
 
@@ -10,8 +10,10 @@
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/make_histogram.hpp>
 #include <fstream>
 #include <vector>
 
@@ -21,13 +23,20 @@
 
 namespace {
 
-constexpr double kMedian = 0.5;
-constexpr double kP95 = 0.95;
-constexpr double kP99 = 0.99;
+// Upper ends of the buckets in milliseconds: fine where targets lie, from a
+// service's answer to the end of a long stream.
+const std::vector<double>& BucketEnds() {
+  static const std::vector<double> kEnds = {
+      1,   2,   5,   10,  20,  35,   50,   75,   100,    150,
+      200, 300, 450, 600, 900, 1500, 2500, 5000, 10'000, 20'000};
+  return kEnds;
+}
 
-const std::vector<double>& Probabilities() {
-  static const std::vector<double> kValues = {kMedian, kP95, kP99};
-  return kValues;
+// The axis wants the lower end of the first bucket as well.
+std::vector<double> BucketEdges() {
+  std::vector<double> edges = {0};
+  edges.insert(edges.end(), BucketEnds().begin(), BucketEnds().end());
+  return edges;
 }
 
 std::string Key(std::string_view name,
@@ -42,13 +51,28 @@
 
 }  // namespace
 
-struct Metrics::Quantiles {
-  using Set = accumulators::accumulator_set<
+struct Metrics::Histogram {
+  using Sums = accumulators::accumulator_set<
       double,
-      accumulators::stats<accumulators::tag::count,
-                          accumulators::tag::extended_p_square_quantile>>;
-  Set set{accumulators::extended_p_square_probabilities = Probabilities()};
-  double sum = 0;
+      accumulators::stats<accumulators::tag::count, accumulators::tag::sum>>;
+  using Buckets = decltype(boost::histogram::make_histogram(
+      boost::histogram::axis::variable<>(BucketEdges())));
+
+  void Print(const std::string& name, std::ostream& out) const {
+    double below = 0;
+    for (int i = 0; i < static_cast<int>(BucketEnds().size()); ++i) {
+      below += buckets.at(i);
+      out << name << "_bucket{le=\"" << BucketEnds()[i] << "\"} " << below
+          << '\n';
+    }
+    out << name << "_bucket{le=\"+Inf\"} " << accumulators::count(sums) << '\n';
+    out << name << "_sum " << accumulators::sum(sums) << '\n';
+    out << name << "_count " << accumulators::count(sums) << '\n';
+  }
+
+  Sums sums;
+  Buckets buckets = boost::histogram::make_histogram(
+      boost::histogram::axis::variable<>(BucketEdges()));
 };
 
 Metrics::Metrics() = default;
@@ -69,12 +93,12 @@
 
 void Metrics::Observe(std::string_view name, double millis) {
   std::lock_guard lock(mutex_);
-  auto& entry = quantiles_[std::string(name)];
-  if (!entry) {
-    entry = std::make_unique<Quantiles>();
+  auto& histogram = histograms_[std::string(name)];
+  if (!histogram) {
+    histogram = std::make_unique<Histogram>();
   }
-  entry->set(millis);
-  entry->sum += millis;
+  histogram->sums(millis);
+  histogram->buckets(millis);
 }
 
 uint64_t Metrics::Value(std::string_view name,
@@ -94,15 +118,8 @@
   for (const auto& [key, value] : gauges_) {
     out << key << ' ' << value << '\n';
   }
-  for (const auto& [name, entry] : quantiles_) {
-    for (double probability : Probabilities()) {
-      out << name << "{quantile=\"" << probability << "\"} "
-          << accumulators::quantile(
-                 entry->set, accumulators::quantile_probability = probability)
-          << '\n';
-    }
-    out << name << "_sum " << entry->sum << '\n';
-    out << name << "_count " << accumulators::count(entry->set) << '\n';
+  for (const auto& [name, histogram] : histograms_) {
+    histogram->Print(name, out);
   }
   return out.str();
 }
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -1,4 +1,4 @@
-// Counters and latency quantiles, printed in the usual text exposition format.
+// Counters and latency histograms, printed in the usual text exposition format.
 
 #ifndef MANGOYOKE_BASE_METRICS_H_
 #define MANGOYOKE_BASE_METRICS_H_
@@ -28,7 +28,7 @@
   // Sets the gauge `name`.
   void Set(std::string_view name, double value);
 
-  // Adds a sample in milliseconds to the quantiles 0.5, 0.95 and 0.99.
+  // Adds a sample in milliseconds to the histogram `name`.
   void Observe(std::string_view name, double millis);
 
   // The value of a counter, 0 if it was never counted.
@@ -40,12 +40,12 @@
   std::string Print() const;
 
  private:
-  struct Quantiles;
+  struct Histogram;
 
   mutable std::mutex mutex_;
   std::map<std::string, uint64_t> counters_;
   std::map<std::string, double> gauges_;
-  std::map<std::string, std::unique_ptr<Quantiles>> quantiles_;
+  std::map<std::string, std::unique_ptr<Histogram>> histograms_;
 };
 
 // Processor time of this process in milliseconds.
--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -92,10 +92,7 @@
   if (events.empty()) {
     return;
   }
-  if (first) {
-    first_event_ms_ = ToMillis(Age());
-    context_.metrics.Observe("mangoyoke_first_event_ms", first_event_ms_);
-  }
+  NoteEvent(first);
   LoadCharge charge;
   charge.requests = 1;
   charge.kv_tokens = KvTokens();
@@ -104,6 +101,17 @@
   input_.exchange->Write(std::move(events));
 }
 
+void EngineRun::NoteEvent(bool first) {
+  TimePoint now = SteadyClock::now();
+  if (first) {
+    first_event_ms_ = ToMillis(Age());
+    context_.metrics.Observe("mangoyoke_first_event_ms", first_event_ms_);
+  } else {
+    longest_gap_ms_ = std::max(longest_gap_ms_, ToMillis(now - last_event_));
+  }
+  last_event_ = now;
+}
+
 void EngineRun::OnDecodeEnd(const BackendServer& server,
                             AttemptOutcome outcome) {
   NoteOutcome(server, outcome, 0);
@@ -132,6 +140,7 @@
   }
   if (outcome.answer.status == 200 && outcome.answer.event_stream) {
     input_.exchange->Write(std::string(relay_.rest()));
+    context_.metrics.Observe("mangoyoke_longest_gap_ms", longest_gap_ms_);
     EndStream();
     return;
   }
--- a/src/gateway/traffic/engine_run.cc
+++ b/src/gateway/traffic/engine_run.cc
@@ -252,14 +252,19 @@
   target_ = *choice.server;
   Reserve(target_->id);
   if (SureOfRoom(choice)) {
-    admitted_ms_ = ToMillis(Age());
-    Prefill();
+    Admitted();
   } else {
     TakeRoom(*target_);
   }
   return true;
 }
 
+void EngineRun::Admitted() {
+  admitted_ms_ = ToMillis(Age());
+  context_.metrics.Observe("mangoyoke_queue_ms", admitted_ms_);
+  Prefill();
+}
+
 bool EngineRun::SureOfRoom(const PlacementChoice& choice) const {
   const EngineSpec* engine = Engine();
   if (engine == nullptr || engine->hold_life == Millis(0)) {
@@ -295,8 +300,7 @@
     auto decoded = context_.backends.DecodeHold(server, outcome.body);
     if (auto* room = std::get_if<RoomHold>(&decoded)) {
       room_ = *room;
-      admitted_ms_ = ToMillis(Age());
-      Prefill();
+      Admitted();
       return;
     }
   }
@@ -349,6 +353,7 @@
       handle_ = *handle;
       handle_until_ = SteadyClock::now() + HandleLife();
       prefill_ms_ = ToMillis(outcome.took);
+      context_.metrics.Observe("mangoyoke_prefill_ms", prefill_ms_);
       if (prefill_alone_) {
         context_.prefill_speed.Note(input_.service, input_.facts.prompt_tokens,
                                     outcome.took);
@@ -396,6 +401,7 @@
       .Field("first_event_ms", first_event_ms_)
       .Field("resumes", static_cast<int64_t>(resumes_))
       .Field("events", relay_.events())
+      .Field("longest_gap_ms", longest_gap_ms_)
       .Field("memory_share", memory_share_);
 }
 
--- a/src/gateway/traffic/engine_run.h
+++ b/src/gateway/traffic/engine_run.h
@@ -53,6 +53,8 @@
   bool ReadsInTime(const PlacementChoice& decode) const;
   // Whether `server` is still what it was when it was chosen.
   bool StillReady(const BackendServer& server) const;
+  // The target server has room.
+  void Admitted();
   void TakeRoom(const BackendServer& server);
   void OnRoom(const BackendServer& server, AttemptOutcome outcome);
   void DropRoom();
@@ -66,6 +68,7 @@
   bool OnDecodeHead(const http::response_header<>& head,
                     const BackendAnswer& answer);
   void OnDecodeData(std::string data);
+  void NoteEvent(bool first);
   void OnDecodeEnd(const BackendServer& server, AttemptOutcome outcome);
   void OnDecodeNotRun();
   void OnDecodeBroken(bool timed_out);
@@ -99,7 +102,9 @@
   double admitted_ms_ = 0;
   double prefill_ms_ = 0;
   double first_event_ms_ = 0;
-  double memory_share_ = 0;  // Of the decode server, when it was chosen.
+  TimePoint last_event_;
+  double longest_gap_ms_ = 0;  // Between events.
+  double memory_share_ = 0;    // Of the decode server, when it was chosen.
 };
 
 }  // namespace mangoyoke
