Reserve room before every prompt that is read

In the logs of 22 entries 459 decode sends found no server, 218 were refused, 90 met another incarnation. With 58 entries before 73 decode servers an entry talks to each once in 43 s, so it learns of a dead one only when it sends, after the prompt was read.

Change: room is reserved at the decode server before every prefill, not only above 0.6 of its memory. That call finds dead and replaced servers and full ones alike; its connection is used for the stream. One rule less.

PromptIsReadOnlyForAServerThatReservedRoom failed before: the prefill server got the prompt.

--- a/src/gateway/traffic/engine_run.cc
+++ b/src/gateway/traffic/engine_run.cc
@@ -15,11 +15,6 @@
 constexpr double kPrefillPatienceMs = 300;
 // Tokens that a stream generates while others decide by its memory.
 constexpr int64_t kGrowthTokens = 200;
-// A server is sure to have room for a request if it has it for so many of its
-// size, since other entries may choose the server at the same time.
-constexpr int64_t kSureRoomRequests = 3;
-// Above this share of its memory in use, a server is never sure to have room.
-constexpr double kSureRoomShare = 0.6;
 // A handle is used until shortly before its server may drop it.
 constexpr Duration kHandleMargin = Millis(100);
 constexpr unsigned kNoRoom = 503;
@@ -251,10 +246,10 @@
   memory_share_ = choice.memory_share;
   target_ = *choice.server;
   Reserve(target_->id);
-  if (SureOfRoom(choice)) {
-    Admitted();
-  } else {
+  if (CanReserveRoom()) {
     TakeRoom(*target_);
+  } else {
+    Admitted();
   }
   return true;
 }
@@ -265,15 +260,9 @@
   Prefill();
 }
 
-bool EngineRun::SureOfRoom(const PlacementChoice& choice) const {
+bool EngineRun::CanReserveRoom() const {
   const EngineSpec* engine = Engine();
-  if (engine == nullptr || engine->hold_life == Millis(0)) {
-    return true;  // There is no way to ask.
-  }
-  double room = kMaxMemoryShare * static_cast<double>(engine->kv_tokens) -
-                static_cast<double>(choice.load.kv_tokens);
-  return decode_refusals_ == 0 && choice.memory_share < kSureRoomShare &&
-         static_cast<double>(kSureRoomRequests * KvTokens()) <= room;
+  return engine != nullptr && engine->hold_life > Millis(0);
 }
 
 void EngineRun::DropExpiredHandle() {
--- a/src/gateway/traffic/engine_run.h
+++ b/src/gateway/traffic/engine_run.h
@@ -46,8 +46,8 @@
   double PrefillMillis() const;
   // Whether the prompt is read, or can be before the first event is due.
   bool PrefillInTime();
-  // Whether the server is sure to have room although others may choose it too.
-  bool SureOfRoom(const PlacementChoice& choice) const;
+  // Whether the service's engines reserve room.
+  bool CanReserveRoom() const;
   void DropExpiredHandle();
   // Whether the decode server can read the prompt itself in time.
   bool ReadsInTime(const PlacementChoice& decode) const;
--- a/tests/unit/gateway_run_test.cc
+++ b/tests/unit/gateway_run_test.cc
@@ -321,7 +321,7 @@
   AddServer(ServerStage::kPrefill, Reads("h1"));
   AddServer(ServerStage::kDecode, Rejects());
   service_.engine = EngineSpec{};
-  service_.engine->kv_tokens = 3000;  // Not for three such requests.
+  service_.engine->kv_tokens = 3000;
   service_.engine->hold_life = Millis(2000);
   Serve(RequestKind::kStreaming, false, 1);
   context_.patience.NoteWait("r", Millis(3000));
@@ -373,6 +373,19 @@
   EXPECT_EQ(servers_[1]->requests(), 2);
 }
 
+// A prompt that is read for a server that is gone is read for nothing.
+TEST_F(RunTest, PromptIsReadOnlyForAServerThatReservedRoom) {
+  AddServer(ServerStage::kPrefill, Reads("h1"));
+  AddServer(ServerStage::kDecode, Resets());
+  AddServer(ServerStage::kDecode, Resets());
+  service_.engine = EngineSpec{};
+  service_.engine->kv_tokens = 100'000;
+  service_.engine->hold_life = Millis(2000);
+  Serve(RequestKind::kStreaming, false, 1);
+  EXPECT_TRUE(HasStatus(Ask(), 429));
+  EXPECT_EQ(servers_[0]->requests(), 0);
+}
+
 // A server that confirmed room and refuses cannot have the prompt's memory.
 TEST_F(RunTest, HandleIsNotUsedAgainAfterAServerWithRoomRefusedIt) {
   std::atomic<int> reads{0};
@@ -392,7 +405,7 @@
                                                                  exchange);
   });
   service_.engine = EngineSpec{};
-  service_.engine->kv_tokens = 3000;  // Not for three such requests.
+  service_.engine->kv_tokens = 3000;
   service_.engine->hold_life = Millis(2000);
   service_.engine->handle_life = Millis(500);
   Serve(RequestKind::kStreaming, false, 1);
