--- a/src/gateway/traffic/engine_run.cc
+++ b/src/gateway/traffic/engine_run.cc
@@ -1,4 +1,4 @@
-// Admission and prefill of a model request.
+// Admission of a model request.
 
 #include "gateway/traffic/engine_run.h"
 
@@ -10,30 +10,18 @@
 namespace mangoyoke {
 namespace {
 
-// A prefill is given up beyond its estimate times this, plus a constant.
-constexpr double kPrefillPatience = 3;
-constexpr double kPrefillPatienceMs = 300;
 // Tokens that a stream generates while others decide by its memory.
 constexpr int64_t kGrowthTokens = 200;
-// A handle is used until shortly before its server may drop it.
-constexpr Duration kHandleMargin = Millis(100);
 constexpr unsigned kNoRoom = 503;
 constexpr Duration kRoomCallLimit = Millis(150);
 // A reservation has to last for a prefill and some waiting.
 constexpr Duration kRoomLife = Millis(1500);
-// Time from admission to the first event, beyond the prefill estimate.
-constexpr double kFirstEventMs = 80;
-// Without a target, a request waits for room at most this long.
-constexpr Duration kLongestWait = Seconds(1);
 // A late request waits this many targets, or this part of the time left.
 // Callers leave a stream without events after four targets.
 constexpr double kLateWaitTargets = 3;
 constexpr double kLateWaitShare = 0.6;
 // Late requests leave this room to those that can still meet their target.
 constexpr double kLateMemoryShare = 0.82;
-// A late request's prompt is read when that takes at most this part of the
-// target, queue included.
-constexpr double kLatePrefillShare = 0.5;
 
 }  // namespace
 
@@ -73,12 +61,6 @@
   reservation_ = 0;
 }
 
-void EngineRun::DropHandle() {
-  if (auto handle = std::exchange(handle_, std::nullopt)) {
-    ReleaseHandle(context_, *handle);
-  }
-}
-
 void EngineRun::DropRoom() {
   if (auto room = std::exchange(room_, std::nullopt)) {
     ReleaseRoom(context_, *room);
@@ -106,11 +88,6 @@
          spent_ + FromMillis(first_event) > target;
 }
 
-double EngineRun::PrefillMillis() const {
-  return context_.prefill_speed.MillisPerToken(input_.service) *
-         static_cast<double>(input_.facts.prompt_tokens);
-}
-
 QueueRank EngineRun::Rank() const {
   if (handle_ || resumes_ > 0) {
     return QueueRank::kBegun;
@@ -138,6 +115,7 @@
 }
 
 void EngineRun::AdmitAgain() {
+  attempt_.reset();
   DropRoom();
   Unreserve();
   target_.reset();
@@ -157,43 +135,6 @@
   return now != nullptr && *now == server;
 }
 
-PlacementChoice EngineRun::ChoosePrefill() {
-  PlacementQuery query;
-  query.stage = ServerStage::kPrefill;
-  query.prompt_tokens = input_.facts.prompt_tokens;
-  query.excluded = failed_prefills_;
-  if (target_) {
-    query.near = target_->zone;  // The memory moves there.
-  }
-  return Place(query);
-}
-
-bool EngineRun::PrefillInTime() {
-  if (Rank() == QueueRank::kBegun) {
-    return true;
-  }
-  PlacementChoice choice = ChoosePrefill();
-  Duration target = input_.route->target_latency;
-  if (choice.server == nullptr || target == Duration::zero()) {
-    return true;
-  }
-  Duration first_event = FromMillis(choice.cost + kFirstEventMs);
-  if (late_) {
-    return first_event <= FromMillis(kLatePrefillShare * ToMillis(target));
-  }
-  return Age() + first_event <= target;
-}
-
-bool EngineRun::ReadsInTime(const PlacementChoice& decode) const {
-  // A second prompt at once would make the streams there pause for too long.
-  if (late_ || decode.load.prompt_tokens > 0) {
-    return false;
-  }
-  double reading = kOwnReadingSlowness * PrefillMillis();
-  return Age() + FromMillis(reading + kFirstEventMs) <=
-         input_.route->target_latency;
-}
-
 PlacementChoice EngineRun::ChooseDecode() {
   PlacementQuery query;
   query.stage = ServerStage::kDecode;
@@ -265,12 +206,6 @@
   return engine != nullptr && engine->hold_life > Millis(0);
 }
 
-void EngineRun::DropExpiredHandle() {
-  if (handle_ && SteadyClock::now() >= handle_until_) {
-    DropHandle();
-  }
-}
-
 void EngineRun::TakeRoom(const BackendServer& server) {
   AttemptHandlers handlers;
   handlers.on_end = [this, server](AttemptOutcome outcome) {
@@ -284,7 +219,6 @@
 }
 
 void EngineRun::OnRoom(const BackendServer& server, AttemptOutcome outcome) {
-  attempt_.reset();
   if (outcome.Succeeded()) {
     auto decoded = context_.backends.DecodeHold(server, outcome.body);
     if (auto* room = std::get_if<RoomHold>(&decoded)) {
@@ -298,79 +232,9 @@
   } else {
     NoteOutcome(server, outcome, 0);
   }
-  // Another server may have room.
   AdmitAgain();
 }
 
-void EngineRun::Prefill() {
-  PlacementChoice choice = ChoosePrefill();
-  if (handle_ || reads_itself_ || choice.server == nullptr ||
-      prefills_ >= kMaxPrefills || unreachable_ >= kMaxUnreachable) {
-    Decode();
-    return;
-  }
-  LoadCharge charge;
-  charge.requests = 1;
-  charge.prompt_tokens = input_.facts.prompt_tokens;
-  BackendCall call;
-  call.prefill_only = true;
-  AttemptHandlers handlers;
-  prefill_alone_ = choice.load.prompt_tokens == 0;
-  handlers.on_end = [this, server = *choice.server](AttemptOutcome outcome) {
-    OnPrefillEnd(server, std::move(outcome));
-  };
-  double patience = choice.cost * kPrefillPatience + kPrefillPatienceMs;
-  Duration limit =
-      std::min(std::max<Duration>(TimeLeft(), Millis(1)), FromMillis(patience));
-  Send(*choice.server, call, charge, limit, std::move(handlers));
-}
-
-void EngineRun::OnPrefillEnd(const BackendServer& server,
-                             AttemptOutcome outcome) {
-  NoteOutcome(server, outcome, 0);
-  if (outcome.end == ExchangeEnd::kNotSent) {
-    ++unreachable_;
-    failed_prefills_.insert(server.id);
-    Prefill();
-    return;
-  }
-  ++prefills_;
-  ++sends_;
-  if (outcome.end == ExchangeEnd::kComplete && outcome.answer.status == 200) {
-    auto decoded = context_.backends.DecodePrefill(server, outcome.body);
-    if (auto* handle = std::get_if<PrefillHandle>(&decoded)) {
-      handle_ = *handle;
-      handle_until_ = SteadyClock::now() + HandleLife();
-      prefill_ms_ = ToMillis(outcome.took);
-      context_.metrics.Observe("mangoyoke_prefill_ms", prefill_ms_);
-      if (prefill_alone_) {
-        context_.prefill_speed.Note(input_.service, input_.facts.prompt_tokens,
-                                    outcome.took);
-      }
-      Decode();
-      return;
-    }
-    LogEvent("prefill_malformed", LogLevel::kWarning)
-        .Field("request", input_.facts.id)
-        .Field("server", server.id)
-        .Field("why", std::get<Error>(decoded).detail);
-  }
-  failed_prefills_.insert(server.id);
-  if (!TakeRepeat()) {
-    FailBeforeRun(ErrorCode::kNoBackend, "the prompt could not be read");
-    return;
-  }
-  Prefill();
-}
-
-Duration EngineRun::HandleLife() const {
-  const EngineSpec* engine = Engine();
-  if (engine == nullptr) {
-    return kLongestWait;
-  }
-  return std::max<Duration>(engine->handle_life - kHandleMargin, Millis(0));
-}
-
 void EngineRun::FailBeforeRun(ErrorCode code, std::string_view why) {
   if (streaming_) {
     BreakStream(ErrorCode::kBackendBroken, why);
--- a/src/gateway/traffic/engine_run.h
+++ b/src/gateway/traffic/engine_run.h
@@ -22,6 +22,10 @@
   void GiveUpWaiting();
 
  private:
+  // Time from admission to the first event, beyond the prefill estimate.
+  static constexpr double kFirstEventMs = 80;
+  // Without a target, a request waits for room at most this long.
+  static constexpr Duration kLongestWait = Seconds(1);
   // Servers that may fail to be connected before a request is refused.
   static constexpr int kMaxUnreachable = 4;
   // Prefill servers tried before the decode server reads the prompt itself.
