Tell callers the instances of their own zone

Cause: the instance list was the first 64 members in order of id, whoever asked. Callers crossed zones for most of their bytes; with 295 instances, 231 of them would get no caller at all.

Change: ChooseInstances (gateway/core) lists the caller's zone, one instance of another zone as a spare for the loss of the whole zone, and fills small zones up to four; of more than fit, each answer takes another random part. The location comes decoded from the codec.

--- a/src/gateway/control/control_handler.cc
+++ b/src/gateway/control/control_handler.cc
@@ -7,7 +7,6 @@
 namespace mangoyoke {
 namespace {
 
-constexpr size_t kMaxListedInstances = 64;
 constexpr std::string_view kMetricsPath = "/metrics";
 
 }  // namespace
@@ -32,12 +31,12 @@
   return codec_.EncodeErrorResponse(error, std::nullopt);
 }
 
-HttpResponse ControlHandler::HandleRequest(const HttpRequest& request) const {
+HttpResponse ControlHandler::HandleRequest(const HttpRequest& request) {
   if (codec_.IsReadinessRequest(request)) {
     return MakeReadinessResponse();
   }
-  if (codec_.IsInstanceListRequest(request)) {
-    return MakeInstanceListResponse();
+  if (auto location = codec_.DecodeInstanceListRequest(request)) {
+    return MakeInstanceListResponse(*location);
   }
   std::string_view target(request.target().data(), request.target().size());
   if (target == kMetricsPath) {
@@ -47,14 +46,13 @@
       Error{ErrorCode::kUnknownPath, std::string(target)}, std::nullopt);
 }
 
-HttpResponse ControlHandler::MakeInstanceListResponse() const {
-  std::vector<std::string> addresses;
-  for (const MemberRecord& record : membership_.All()) {
-    if (record.AcceptsCallers() && addresses.size() < kMaxListedInstances) {
-      addresses.push_back(record.caller_address);
-    }
-  }
-  metrics_.Increment("mangoyoke_entries_answers_total");
+HttpResponse ControlHandler::MakeInstanceListResponse(
+    const CallerLocation& location) {
+  std::vector<std::string> addresses = ChooseInstances(
+      membership_.All(), location, InstanceListOptions{}, random_);
+  bool own_zone = location.zone == membership_.self().zone;
+  metrics_.Increment("mangoyoke_entries_answers_total", "caller_zone",
+                     own_zone ? "own" : "other");
   if (addresses.empty()) {
     return codec_.EncodeErrorResponse(
         Error{ErrorCode::kNotReady, "no instance currently accepts callers"},
--- a/src/gateway/control/control_handler.h
+++ b/src/gateway/control/control_handler.h
@@ -4,6 +4,7 @@
 #define MANGOYOKE_GATEWAY_CONTROL_CONTROL_HANDLER_H_
 
 #include <functional>
+#include <random>
 
 #include "base/metrics.h"
 #include "gateway/net/http_listener.h"
@@ -31,8 +32,8 @@
   HttpResponse MakeParseErrorResponse(const Error& error) const override;
 
  private:
-  HttpResponse HandleRequest(const HttpRequest& request) const;
-  HttpResponse MakeInstanceListResponse() const;
+  HttpResponse HandleRequest(const HttpRequest& request);
+  HttpResponse MakeInstanceListResponse(const CallerLocation& location);
   HttpResponse MakeReadinessResponse() const;
   HttpResponse MakeMetricsResponse() const;
 
@@ -41,6 +42,7 @@
   Metrics& metrics_;
   Duration instance_list_ttl_;
   std::function<bool()> is_ready_;
+  std::mt19937_64 random_{std::random_device{}()};
 };
 
 }  // namespace mangoyoke
--- a/src/gateway/core/codecs.h
+++ b/src/gateway/core/codecs.h
@@ -15,6 +15,7 @@
 
 #include "gateway/core/backend_registry.h"
 #include "gateway/core/backend_server.h"
+#include "gateway/core/instance_list.h"
 #include "gateway/core/serving_config.h"
 #include "mangoyoke/clock.h"
 #include "mangoyoke/error.h"
@@ -93,8 +94,10 @@
   virtual HttpResponse EncodeErrorResponse(
       const Error& error,
       std::optional<Duration> retry_after) const = 0;
-  // Whether `request` asks for the list of instances to use.
-  virtual bool IsInstanceListRequest(const HttpRequest& request) const = 0;
+  // Where the caller is, if `request` asks for the list of instances to use;
+  // nothing if it is another request.
+  virtual std::optional<CallerLocation> DecodeInstanceListRequest(
+      const HttpRequest& request) const = 0;
   // Whether `request` asks if this instance is ready.
   virtual bool IsReadinessRequest(const HttpRequest& request) const = 0;
   // The instance list, which the caller may use for `ttl`.
