Report load within cells, as changes, and sums between cells

Cause: each instance sent its whole load to all others, up to 800 datagrams a second. With 295 instances a round took 0.37 s, almost the life of a report, so what was known of others' load was mostly out of date; on small deployments these reports were most of the bytes between zones. The shared part of the retry budget needed reports of all peers, which a large deployment never has.

Change: ChooseReportGroup divides the instances into cells of at most 24 of one zone (one cell if there are no more in all). Within a cell, reports state what changed, and the whole load every 300 ms; sums of cells and zones go to one random instance outside. The retry budget's shared part is divided among the cells. Decode servers of the own zone are preferred, as prefill servers of the decode server's zone were already.

Tests: ReportGroupTest, SumsContainEachInstanceOnce, ChangesApplyToTheLastReport, CellsTogetherStayWithinTheBound.

--- a/src/gateway/core/server_load.cc
+++ b/src/gateway/core/server_load.cc
@@ -21,6 +21,23 @@
   return *this;
 }
 
+LoadByServer ChangedCharges(const LoadByServer& before,
+                            const LoadByServer& after) {
+  LoadByServer changes;
+  for (const auto& [server, charge] : before) {
+    if (!after.contains(server)) {
+      changes[server] = LoadCharge{};
+    }
+  }
+  for (const auto& [server, charge] : after) {
+    auto found = before.find(server);
+    if (found == before.end() || found->second != charge) {
+      changes[server] = charge;
+    }
+  }
+  return changes;
+}
+
 uint64_t ServerLoad::Charge(const BackendId& server, const LoadCharge& charge) {
   uint64_t id = next_id_++;
   charges_.emplace(id, ActiveCharge{server, charge});
@@ -50,21 +67,41 @@
   charges_.erase(found);
 }
 
-void ServerLoad::UpdatePeerLoad(const InstanceId& instance,
+void ServerLoad::UpdatePeerLoad(ReportScope scope,
+                                const std::string& source,
                                 LoadByServer load,
                                 TimePoint now) {
-  RemoveReport(instance);
+  ReportKey key{scope, source};
+  RemoveReport(key);
   for (const auto& [server, charge] : load) {
     peer_load_[server] += charge;
   }
-  if (reports_.empty()) {
-    oldest_report_time_ = now;
+  TimePoint expires_at = now + report_ttls_.Of(scope);
+  next_expiry_ =
+      reports_.empty() ? expires_at : std::min(next_expiry_, expires_at);
+  reports_.emplace(std::move(key), PeerReport{std::move(load), expires_at});
+}
+
+void ServerLoad::PatchPeerLoad(ReportScope scope,
+                               const std::string& source,
+                               const LoadByServer& changes,
+                               TimePoint now) {
+  LoadByServer load;
+  if (auto found = reports_.find({scope, source}); found != reports_.end()) {
+    load = found->second.load;
+  }
+  for (const auto& [server, charge] : changes) {
+    if (charge == LoadCharge{}) {
+      load.erase(server);
+    } else {
+      load[server] = charge;
+    }
   }
-  reports_.emplace(instance, PeerReport{std::move(load), now});
+  UpdatePeerLoad(scope, source, std::move(load), now);
 }
 
-void ServerLoad::RemoveReport(const InstanceId& instance) {
-  auto found = reports_.find(instance);
+void ServerLoad::RemoveReport(const ReportKey& key) {
+  auto found = reports_.find(key);
   if (found == reports_.end()) {
     return;
   }
@@ -79,23 +116,37 @@
 }
 
 void ServerLoad::RemoveExpiredReports(TimePoint now) {
-  if (now - oldest_report_time_ <= report_ttl_) {
+  if (now <= next_expiry_) {
     return;
   }
-  std::vector<InstanceId> expired;
-  oldest_report_time_ = now;
-  for (const auto& [instance, report] : reports_) {
-    if (now - report.received_at > report_ttl_) {
-      expired.push_back(instance);
+  std::vector<ReportKey> expired;
+  next_expiry_ = TimePoint::max();
+  for (const auto& [key, report] : reports_) {
+    if (now > report.expires_at) {
+      expired.push_back(key);
     } else {
-      oldest_report_time_ = std::min(oldest_report_time_, report.received_at);
+      next_expiry_ = std::min(next_expiry_, report.expires_at);
     }
   }
-  for (const InstanceId& instance : expired) {
-    RemoveReport(instance);
+  for (const ReportKey& key : expired) {
+    RemoveReport(key);
   }
 }
 
+LoadByServer ServerLoad::Sum(ReportScope max_scope, TimePoint now) {
+  RemoveExpiredReports(now);
+  LoadByServer sum = local_load_;
+  for (const auto& [key, report] : reports_) {
+    if (key.first > max_scope) {
+      break;  // Ordered by scope.
+    }
+    for (const auto& [server, charge] : report.load) {
+      sum[server] += charge;
+    }
+  }
+  return sum;
+}
+
 LoadCharge ServerLoad::At(const BackendId& server, TimePoint now) {
   RemoveExpiredReports(now);
   LoadCharge sum;
--- a/src/gateway/core/shared_retry_budget.cc
+++ b/src/gateway/core/shared_retry_budget.cc
@@ -15,7 +15,10 @@
 
 }  // namespace
 
-void SharedRetryBudget::SetInstanceCount(size_t instance_count, TimePoint now) {
+void SharedRetryBudget::SetInstances(size_t instance_count,
+                                     std::set<InstanceId> cell_peers,
+                                     TimePoint now) {
+  cell_peers_ = std::move(cell_peers);
   while (instance_counts_.size() > 1 &&
          now - instance_counts_[1].first > options_.window) {
     instance_counts_.pop_front();
@@ -23,6 +26,16 @@
   instance_counts_.emplace_back(now, instance_count);
 }
 
+double SharedRetryBudget::CellFraction(TimePoint now) const {
+  size_t instance_count =
+      instance_counts_.empty() ? 1 : instance_counts_.back().second;
+  if (cell_peers_.size() + 1 >= instance_count) {
+    return 1;
+  }
+  return static_cast<double>(cell_peers_.size() + 1) /
+         static_cast<double>(MaxInstanceCount(now));
+}
+
 size_t SharedRetryBudget::MaxInstanceCount(TimePoint now) const {
   size_t max_count = 1;
   for (size_t i = 0; i < instance_counts_.size(); ++i) {
@@ -69,9 +82,7 @@
 bool SharedRetryBudget::SharedPartAllows(const ServiceId& service,
                                          const History& local,
                                          TimePoint now) const {
-  size_t reporting_instances = 1;
-  size_t current_instances =
-      instance_counts_.empty() ? 1 : instance_counts_.back().second;
+  size_t reporting_peers = 0;
   RetryCounts sum{static_cast<int64_t>(local.requests.size()),
                   static_cast<int64_t>(local.retries.size())};
   sum.retries += RetriesOfReplacedProcesses(service, now);
@@ -79,20 +90,21 @@
     if (now - report.received_at > options_.window) {
       continue;
     }
-    bool recent = now - report.received_at <= options_.report_ttl;
-    reporting_instances += recent ? 1 : 0;
+    bool recent = now - report.received_at <= options_.report_ttl &&
+                  cell_peers_.contains(instance);
+    reporting_peers += recent ? 1 : 0;
     if (auto found = report.counts.find(service);
         found != report.counts.end()) {
-      // Retries of an instance that stopped reporting still count within the
-      // window; its requests do not.
+      // Retries of an instance that stopped reporting or left the cell still
+      // count within the window; its requests do not.
       sum.requests += recent ? found->second.requests : 0;
       sum.retries += found->second.retries;
     }
   }
   double limit =
-      kSharedFraction *
-      (options_.share * static_cast<double>(sum.requests) + FixedRetries(now));
-  return reporting_instances >= current_instances &&
+      kSharedFraction * (options_.share * static_cast<double>(sum.requests) +
+                         CellFraction(now) * FixedRetries(now));
+  return reporting_peers >= cell_peers_.size() &&
          static_cast<double>(sum.retries) + 1 <= limit;
 }
 
--- a/src/gateway/core/shared_retry_budget.h
+++ b/src/gateway/core/shared_retry_budget.h
@@ -2,8 +2,10 @@
 // service number at most a share of its requests plus a fixed number.
 //
 // Each instance may always use its local part of the budget. The rest is the
-// shared part: an instance may use it while it has recent reports of all peers
-// and these show that the shared part is not used up.
+// shared part. It is divided among the cells of instances that report to each
+// other (report_group.h), by their size: an instance may use its cell's part
+// while it has recent reports of all others in the cell and these show that the
+// part is not used up.
 //
 // A process that has just started does not know what its predecessor used, so
 // it gets nothing of the fixed number until a window has passed.
@@ -14,6 +16,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 
 #include "mangoyoke/clock.h"
@@ -48,10 +51,13 @@
 
   // Replaces the options.
   void SetOptions(SharedRetryBudgetOptions options) { options_ = options; }
-  // Sets the number of instances that share the budget now, this one included.
-  // A higher earlier number applies for another window, since the retries of
-  // the instances that are gone still count.
-  void SetInstanceCount(size_t instance_count, TimePoint now);
+  // Sets the number of instances that share the budget now, this one included,
+  // and the other instances of its cell. A higher earlier number applies for
+  // another window, since the retries of the instances that are gone still
+  // count.
+  void SetInstances(size_t instance_count,
+                    std::set<InstanceId> cell_peers,
+                    TimePoint now);
   // Counts a request to `service`, which adds to the budget.
   void OnRequest(const ServiceId& service, TimePoint now);
   // Takes one retry of `service` out of the budget. False if there is none.
@@ -86,6 +92,8 @@
                         const History& local,
                         TimePoint now) const;
 
+  // The part of the deployment that is the own cell; 1 if there is but one.
+  double CellFraction(TimePoint now) const;
   // The highest number of instances within the last window.
   size_t MaxInstanceCount(TimePoint now) const;
   // Retries per window that all instances have besides the share of requests.
@@ -99,6 +107,7 @@
   TimePoint started_;
   // Instance counts with the time each was set, oldest first.
   std::deque<std::pair<TimePoint, size_t>> instance_counts_;
+  std::set<InstanceId> cell_peers_;
   std::map<ServiceId, History> local_history_;
   std::map<InstanceId, PeerReport> reports_;
   // Last reports of replaced processes, oldest first.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -16,7 +16,6 @@
 #include "base/periodic_timer.h"
 #include "base/supervisor.h"
 #include "gateway/control/gateway_control.h"
-#include "gateway/net/sockets.h"
 #include "gateway/settings.h"
 #include "gateway/traffic/gateway_traffic.h"
 
@@ -63,13 +62,10 @@
                         });
     });
     control_.on_members_changed().Add([this](const std::vector<InstanceId>&) {
-      std::vector<std::string> ips;
-      for (const std::string& address : control_.PeerAddresses()) {
-        ips.push_back(ExtractIp(address));
-      }
-      boost::asio::post(traffic_io_, [this, ips = std::move(ips)] {
-        traffic_.SetPeers(ips);
-      });
+      boost::asio::post(traffic_io_,
+                        [this, group = control_.PeersToReportTo()] {
+                          traffic_.SetPeers(group);
+                        });
     });
   }
 
--- a/src/gateway/traffic/engine_request.cc
+++ b/src/gateway/traffic/engine_request.cc
@@ -148,6 +148,7 @@
   PlacementQuery query;
   query.stage = ServerStage::kDecode;
   query.kv_tokens = KvTokens();
+  query.preferred_zone = context_.zone;  // The prompt and the events pass here.
   if (Rank() == QueueRank::kLate) {
     query.max_memory_share = kLateMemoryShare;
   }
--- a/src/gateway/traffic/gateway_traffic.cc
+++ b/src/gateway/traffic/gateway_traffic.cc
@@ -17,6 +17,7 @@
                                Metrics& metrics)
     : settings_(settings),
       context_(io,
+               settings.zone,
                codecs.callers,
                codecs.backends,
                metrics,
@@ -24,7 +25,7 @@
                SteadyClock::now()),
       router_(context_),
       listener_(io, router_),
-      reporter_(context_, settings.id),
+      reporter_(context_, settings.id, settings.zone),
       sweep_timer_(io, kSweepInterval, [this] { SweepConnections(); }) {}
 
 Result<Unit> GatewayTraffic::Start() {
@@ -45,9 +46,14 @@
   context_.health.KeepOnly(*context_.servers);
 }
 
-void GatewayTraffic::SetPeers(const std::vector<std::string>& ips) {
-  context_.retry_budget.SetInstanceCount(ips.size() + 1, SteadyClock::now());
-  reporter_.SetPeers(ips);
+void GatewayTraffic::SetPeers(const ReportGroup& group) {
+  std::set<InstanceId> cell_peers;
+  for (const MemberRecord& peer : group.cell_peers) {
+    cell_peers.insert(peer.id);
+  }
+  context_.retry_budget.SetInstances(group.instance_count(),
+                                     std::move(cell_peers), SteadyClock::now());
+  reporter_.SetPeers(group);
 }
 
 void GatewayTraffic::SetRetryBudget(const SharedRetryBudgetOptions& options) {
--- a/src/gateway/traffic/gateway_traffic.h
+++ b/src/gateway/traffic/gateway_traffic.h
@@ -36,8 +36,8 @@
   void SetConfig(std::shared_ptr<const ServingConfig> config);
   // Replaces the list of backend servers; drops health records of removed ones.
   void SetServers(std::shared_ptr<const ServerSnapshot> servers);
-  // Sets the IP addresses of all peers.
-  void SetPeers(const std::vector<std::string>& ips);
+  // Sets the peers that load is reported to.
+  void SetPeers(const ReportGroup& group);
   void SetRetryBudget(const SharedRetryBudgetOptions& options);
   // From now on responses tell callers that their connection will be closed.
   void StartDraining() { listener_.StartDraining(); }
--- a/src/gateway/traffic/load_reporter.cc
+++ b/src/gateway/traffic/load_reporter.cc
@@ -1,13 +1,16 @@
-// Load reports as MessagePack datagrams: an array of instance id, load by
-// server (requests, prompt tokens, KV tokens), counts by service (requests,
-// retries) and incarnation.
+// Load reports as MessagePack datagrams: an array of scope, source (an instance
+// id, a cell or a zone), whether the report is complete, and load by server
+// (requests, prompt tokens, KV tokens). Reports of an instance also have counts
+// by service (requests, retries), only if complete, and its incarnation.
 
 #include "gateway/traffic/load_reporter.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 #include "base/log.h"
+#include "gateway/net/sockets.h"
 
 namespace mangoyoke {
 namespace {
@@ -15,18 +18,89 @@
 using Json = nlohmann::json;
 
 constexpr Duration kTickInterval = Millis(20);
-// Unchanged load is reported again after this time, before peers discard the
-// last report as too old.
-constexpr Duration kRefreshInterval = Millis(150);
-// Most datagrams sent in one tick. With more peers, a report takes several
-// ticks to reach all of them.
-constexpr size_t kDatagramsPerTick = 16;
+// Pace of complete reports. A peer gets one within the TTL of reports though
+// two in a row were lost.
+constexpr Duration kCompleteReportInterval = Millis(300);
+// Pace of the sums sent out of the cell and out of the zone.
+constexpr Duration kCellSumInterval = Millis(100);
+constexpr Duration kZoneSumInterval = Millis(250);
+// Servers in one report; those with the least work are left out, so that it
+// fits into a datagram.
+constexpr size_t kMaxReportedServers = 400;
+
+Json EncodeLoad(const LoadByServer& load) {
+  std::vector<std::pair<BackendId, LoadCharge>> servers(load.begin(),
+                                                        load.end());
+  if (servers.size() > kMaxReportedServers) {
+    std::nth_element(
+        servers.begin(),
+        servers.begin() + static_cast<ptrdiff_t>(kMaxReportedServers),
+        servers.end(), [](const auto& left, const auto& right) {
+          return left.second.kv_tokens > right.second.kv_tokens;
+        });
+    servers.resize(kMaxReportedServers);
+  }
+  Json encoded = Json::object();
+  for (const auto& [id, charge] : servers) {
+    encoded[id] =
+        Json::array({charge.requests, charge.prompt_tokens, charge.kv_tokens});
+  }
+  return encoded;
+}
+
+// Nothing if the report has a scope that this process does not know.
+std::optional<ReportScope> DecodeScope(const Json& encoded) {
+  switch (encoded.get<int>()) {
+    case static_cast<int>(ReportScope::kInstance):
+      return ReportScope::kInstance;
+    case static_cast<int>(ReportScope::kCell):
+      return ReportScope::kCell;
+    case static_cast<int>(ReportScope::kZone):
+      return ReportScope::kZone;
+    default:
+      return std::nullopt;
+  }
+}
+
+LoadByServer DecodeLoad(const Json& encoded) {
+  LoadByServer load;
+  for (const auto& [id, item] : encoded.items()) {
+    load[id] = LoadCharge{item.at(0).get<int64_t>(), item.at(1).get<int64_t>(),
+                          item.at(2).get<int64_t>()};
+  }
+  return load;
+}
+
+std::map<ServiceId, RetryCounts> DecodeCounts(const Json& encoded) {
+  std::map<ServiceId, RetryCounts> counts;
+  for (const auto& [service, item] : encoded.items()) {
+    counts[service] =
+        RetryCounts{item.at(0).get<int64_t>(), item.at(1).get<int64_t>()};
+  }
+  return counts;
+}
+
+// Whether retries were made between the counts `before` and `after`. Peers have
+// to know of them at once; new requests only add to the budget.
+bool RetriesChanged(const std::map<ServiceId, RetryCounts>& before,
+                    const std::map<ServiceId, RetryCounts>& after) {
+  for (const auto& [service, counts] : after) {
+    auto found = before.find(service);
+    if (counts.retries != (found == before.end() ? 0 : found->second.retries)) {
+      return true;
+    }
+  }
+  return false;
+}
 
 }  // namespace
 
-LoadReporter::LoadReporter(TrafficContext& context, InstanceId self)
+LoadReporter::LoadReporter(TrafficContext& context,
+                           InstanceId self,
+                           ZoneId zone)
     : context_(context),
       self_(std::move(self)),
+      zone_(std::move(zone)),
       incarnation_(context.random()),
       socket_(context.io) {}
 
@@ -54,52 +128,99 @@
   return Unit{};
 }
 
-void LoadReporter::SetPeers(const std::vector<std::string>& ips) {
-  peers_.clear();
-  for (const std::string& ip : ips) {
+LoadReporter::Endpoints LoadReporter::EndpointsOf(
+    const std::vector<MemberRecord>& peers) const {
+  Endpoints endpoints;
+  for (const MemberRecord& peer : peers) {
     boost::system::error_code error;
-    auto address = boost::asio::ip::make_address_v4(ip, error);
+    auto address =
+        boost::asio::ip::make_address_v4(ExtractIp(peer.peer_address), error);
     if (!error) {
-      peers_.emplace_back(address, port_);
+      endpoints.emplace_back(address, port_);
     }
   }
-  peers_pending_ = static_cast<int>(peers_.size());
+  return endpoints;
+}
+
+void LoadReporter::SetPeers(const ReportGroup& group) {
+  cell_ = group.cell;
+  cell_peers_ = EndpointsOf(group.cell_peers);
+  zone_peers_ = EndpointsOf(group.zone_peers);
+  remote_peers_ = EndpointsOf(group.remote_peers);
 }
 
 void LoadReporter::Tick() {
   TimePoint now = SteadyClock::now();
-  bool changed = context_.load.local_load() != reported_;
-  if (changed || now - last_round_ >= kRefreshInterval) {
-    reported_ = context_.load.local_load();
-    peers_pending_ = static_cast<int>(peers_.size());
-    last_round_ = now;
+  ReportToCell(now);
+  if (now - last_cell_sum_ >= kCellSumInterval) {
+    last_cell_sum_ = now;
+    SendSum(ReportScope::kInstance, ReportScope::kCell, cell_, zone_peers_,
+            now);
+  }
+  if (now - last_zone_sum_ >= kZoneSumInterval) {
+    last_zone_sum_ = now;
+    SendSum(ReportScope::kCell, ReportScope::kZone, zone_, remote_peers_, now);
   }
-  if (peers_pending_ == 0) {
+}
+
+void LoadReporter::ReportToCell(TimePoint now) {
+  const LoadByServer& load = context_.load.local_load();
+  bool complete = now - last_complete_report_ >= kCompleteReportInterval;
+  LoadByServer changes = ChangedCharges(reported_load_, load);
+  auto counts = context_.retry_budget.LocalCounts(now);
+  bool retried = RetriesChanged(reported_counts_, counts);
+  if (!complete && !retried && changes.empty()) {
     return;
   }
-  std::vector<uint8_t> report = EncodeReport(now);
-  for (size_t i = 0; i < kDatagramsPerTick && peers_pending_ > 0;
-       ++i, --peers_pending_) {
-    next_peer_ = (next_peer_ + 1) % peers_.size();
-    boost::system::error_code error;
-    socket_.send_to(boost::asio::buffer(report), peers_[next_peer_], 0, error);
-    if (error) {
-      context_.metrics.Increment("mangoyoke_load_reports_unsent_total");
-    }
+  reported_load_ = load;
+  reported_counts_ = std::move(counts);
+  std::vector<uint8_t> report;
+  if (complete || retried) {
+    last_complete_report_ = now;
+    report = EncodeOwnReport(true, load, reported_counts_);
+  } else {
+    report = EncodeOwnReport(false, changes, {});
+  }
+  for (const Udp::endpoint& peer : cell_peers_) {
+    Send(report, peer);
   }
 }
 
-std::vector<uint8_t> LoadReporter::EncodeReport(TimePoint now) {
-  Json servers = Json::object();
-  for (const auto& [id, load] : reported_) {
-    servers[id] =
-        Json::array({load.requests, load.prompt_tokens, load.kv_tokens});
+void LoadReporter::SendSum(ReportScope max_scope,
+                           ReportScope scope,
+                           const std::string& source,
+                           const Endpoints& peers,
+                           TimePoint now) {
+  if (peers.empty()) {
+    return;
   }
-  Json retries = Json::object();
-  for (const auto& [service, counts] : context_.retry_budget.LocalCounts(now)) {
-    retries[service] = Json::array({counts.requests, counts.retries});
+  Json servers = EncodeLoad(context_.load.Sum(max_scope, now));
+  auto peer = static_cast<size_t>(context_.Random() *
+                                  static_cast<double>(peers.size()));
+  Send(Json::to_msgpack(Json::array({scope, source, true, servers})),
+       peers[std::min(peer, peers.size() - 1)]);
+}
+
+void LoadReporter::Send(const std::vector<uint8_t>& report,
+                        const Udp::endpoint& peer) {
+  boost::system::error_code error;
+  socket_.send_to(boost::asio::buffer(report), peer, 0, error);
+  if (error) {
+    context_.metrics.Increment("mangoyoke_load_reports_unsent_total");
+  }
+}
+
+std::vector<uint8_t> LoadReporter::EncodeOwnReport(
+    bool complete,
+    const LoadByServer& load,
+    const std::map<ServiceId, RetryCounts>& counts) const {
+  Json encoded_counts = Json::object();
+  for (const auto& [service, count] : counts) {
+    encoded_counts[service] = Json::array({count.requests, count.retries});
   }
-  return Json::to_msgpack(Json::array({self_, servers, retries, incarnation_}));
+  return Json::to_msgpack(
+      Json::array({ReportScope::kInstance, self_, complete, EncodeLoad(load),
+                   encoded_counts, incarnation_}));
 }
 
 void LoadReporter::Receive() {
@@ -119,27 +240,42 @@
 void LoadReporter::HandleReport(const uint8_t* data, size_t size) {
   Json report = Json::from_msgpack(data, data + size, true, false);
   try {
-    TimePoint now = SteadyClock::now();
-    LoadByServer load;
-    for (const auto& [id, item] : report.at(1).items()) {
-      load[id] =
-          LoadCharge{item.at(0).get<int64_t>(), item.at(1).get<int64_t>(),
-                     item.at(2).get<int64_t>()};
+    auto scope = DecodeScope(report.at(0));
+    if (scope) {
+      ApplyReport(*scope, report);
+    } else {
+      ReportMalformed("unknown scope");
     }
-    std::map<ServiceId, RetryCounts> retries;
-    for (const auto& [service, item] : report.at(2).items()) {
-      retries[service] =
-          RetryCounts{item.at(0).get<int64_t>(), item.at(1).get<int64_t>()};
-    }
-    InstanceId sender = report.at(0).get<std::string>();
-    context_.load.UpdatePeerLoad(sender, std::move(load), now);
-    context_.retry_budget.UpdatePeerCounts(sender, report.at(3).get<uint64_t>(),
-                                           std::move(retries), now);
   } catch (const Json::exception& exception) {
-    context_.metrics.Increment("mangoyoke_load_reports_malformed_total");
-    LogEvent("load_report_malformed", LogLevel::kWarning)
-        .Field("why", exception.what());
+    ReportMalformed(exception.what());
+  }
+}
+
+void LoadReporter::ApplyReport(ReportScope scope, const Json& report) {
+  TimePoint now = SteadyClock::now();
+  auto source = report.at(1).get<std::string>();
+  // A peer may still have an older list of members and then send a sum that
+  // includes this instance.
+  if ((scope == ReportScope::kCell && source == cell_) ||
+      (scope == ReportScope::kZone && source == zone_)) {
+    return;
   }
+  bool complete = report.at(2).get<bool>();
+  LoadByServer load = DecodeLoad(report.at(3));
+  if (!complete) {
+    context_.load.PatchPeerLoad(scope, source, load, now);
+    return;
+  }
+  if (scope == ReportScope::kInstance) {
+    context_.retry_budget.UpdatePeerCounts(source, report.at(5).get<uint64_t>(),
+                                           DecodeCounts(report.at(4)), now);
+  }
+  context_.load.UpdatePeerLoad(scope, source, std::move(load), now);
+}
+
+void LoadReporter::ReportMalformed(std::string_view why) {
+  context_.metrics.Increment("mangoyoke_load_reports_malformed_total");
+  LogEvent("load_report_malformed", LogLevel::kWarning).Field("why", why);
 }
 
 }  // namespace mangoyoke
--- a/src/gateway/traffic/load_reporter.h
+++ b/src/gateway/traffic/load_reporter.h
@@ -1,18 +1,27 @@
-// Exchanges load reports with the peers over UDP: each instance sends its work
-// in flight at the backend servers and its retry counts when the load changed,
-// and periodically. Each report is complete, so the next one replaces a lost
-// one.
+// Exchanges load reports with the peers over UDP. Each instance sends
+//
+// - its own work in flight at the backend servers and its retry counts to all
+//   others of its cell: periodically as a whole, and the servers whose load
+//   changed soon after the change;
+// - the sum of its cell to one random instance of the zone's other cells, and
+//   the sum of its zone to one random instance of the other zones, at a fixed
+//   pace. All instances do so, hence a receiver gets these sums more often.
+//
+// Nothing is sent again: the next complete report makes up for a lost one.
 
 #ifndef MANGOYOKE_GATEWAY_TRAFFIC_LOAD_REPORTER_H_
 #define MANGOYOKE_GATEWAY_TRAFFIC_LOAD_REPORTER_H_
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
+#include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
 #include "base/periodic_timer.h"
+#include "gateway/core/report_group.h"
 #include "gateway/traffic/traffic_context.h"
 
 namespace mangoyoke {
@@ -20,36 +29,62 @@
 // Used on the traffic thread only.
 class LoadReporter {
  public:
-  // `self`: this instance's id, stated in the reports.
-  LoadReporter(TrafficContext& context, InstanceId self);
+  // `self` and `zone`: this instance, as stated in the reports.
+  LoadReporter(TrafficContext& context, InstanceId self, ZoneId zone);
 
   // Binds `ip`:`port` for sending and receiving; all peers use the same port.
   // Returns an error if the socket cannot be bound.
   Result<Unit> Start(const std::string& ip, uint16_t port);
-  // Sets the IP addresses of all peers. What is not an IPv4 address is ignored.
-  void SetPeers(const std::vector<std::string>& ips);
+  // Sets the peers. Those whose peer address is not IPv4 are ignored.
+  void SetPeers(const ReportGroup& group);
 
  private:
   using Udp = boost::asio::ip::udp;
+  using Endpoints = std::vector<Udp::endpoint>;
 
-  // Sends the current report to the peers that have not been sent it yet.
+  Endpoints EndpointsOf(const std::vector<MemberRecord>& peers) const;
+  // Sends what is due.
   void Tick();
-  std::vector<uint8_t> EncodeReport(TimePoint now);
+  void ReportToCell(TimePoint now);
+  // Sends the sum of all reports up to `max_scope` to one random peer of
+  // `peers`, as a report on `source`.
+  void SendSum(ReportScope max_scope,
+               ReportScope scope,
+               const std::string& source,
+               const Endpoints& peers,
+               TimePoint now);
+  void Send(const std::vector<uint8_t>& report, const Udp::endpoint& peer);
+  // A report of this instance: its whole load with its retry counts, or only
+  // the servers whose load changed.
+  std::vector<uint8_t> EncodeOwnReport(
+      bool complete,
+      const LoadByServer& load,
+      const std::map<ServiceId, RetryCounts>& counts) const;
   void Receive();
-  // Applies a peer's report; logs `load_report_malformed` if it cannot be read.
+  // Decodes and applies a peer's report.
   void HandleReport(const uint8_t* data, size_t size);
+  // Throws nlohmann::json::exception if the report cannot be read.
+  void ApplyReport(ReportScope scope, const nlohmann::json& report);
+  // Logs `load_report_malformed`.
+  void ReportMalformed(std::string_view why);
 
   TrafficContext& context_;
   InstanceId self_;
+  ZoneId zone_;
   uint64_t incarnation_;  // Random; differs after a restart.
   Udp::socket socket_;
   uint16_t port_ = 0;
-  std::vector<Udp::endpoint> peers_;
-  size_t next_peer_ = 0;
-  LoadByServer reported_;  // Load in the last report.
-  int peers_pending_ = 0;  // Peers still to be sent the current report.
-  TimePoint last_round_{};
-  std::array<uint8_t, 4096> buffer_{};
+  std::string cell_;
+  Endpoints cell_peers_;
+  Endpoints zone_peers_;
+  Endpoints remote_peers_;
+  // Load and retry counts in the last report to the cell.
+  LoadByServer reported_load_;
+  std::map<ServiceId, RetryCounts> reported_counts_;
+  TimePoint last_complete_report_{};
+  TimePoint last_cell_sum_{};
+  TimePoint last_zone_sum_{};
+  std::array<uint8_t, 16 * 1024> buffer_{};
   Udp::endpoint sender_;
   std::unique_ptr<PeriodicTimer> timer_;
 };
--- a/src/gateway/traffic/traffic_context.cc
+++ b/src/gateway/traffic/traffic_context.cc
@@ -9,19 +9,19 @@
 namespace mangoyoke {
 namespace {
 
-// How long the last load report of a peer counts.
-constexpr Duration kLoadReportTtl = Millis(400);
 constexpr Duration kReleaseTimeout = Millis(500);
 
 }  // namespace
 
 TrafficContext::TrafficContext(boost::asio::io_context& io_context,
+                               ZoneId own_zone,
                                const CallerCodec& caller_codec,
                                const BackendCodec& backend_codec,
                                Metrics& process_metrics,
                                SharedRetryBudgetOptions retry_budget_options,
                                TimePoint process_started)
     : io(io_context),
+      zone(std::move(own_zone)),
       callers(caller_codec),
       backends(backend_codec),
       metrics(process_metrics),
@@ -29,7 +29,7 @@
            [&backend_codec](const http::response_header<>& head) {
              return backend_codec.DecodeResponse(head).request_id;
            }),
-      load(kLoadReportTtl),
+      load(ReportTtls{}),
       retry_budget(retry_budget_options, process_started),
       placement(
           std::make_unique<LeastTimePlacement>([this] { return Random(); })),
--- a/src/gateway/traffic/traffic_context.h
+++ b/src/gateway/traffic/traffic_context.h
@@ -26,6 +26,7 @@
 // `process_started` in the constructor: see SharedRetryBudget.
 struct TrafficContext {
   TrafficContext(boost::asio::io_context& io_context,
+                 ZoneId own_zone,
                  const CallerCodec& caller_codec,
                  const BackendCodec& backend_codec,
                  Metrics& process_metrics,
@@ -39,6 +40,8 @@
   }
 
   boost::asio::io_context& io;
+  // Availability zone of this instance.
+  ZoneId zone;
   const CallerCodec& callers;
   const BackendCodec& backends;
   Metrics& metrics;
--- a/tests/unit/gateway_core_test.cc
+++ b/tests/unit/gateway_core_test.cc
@@ -126,10 +126,11 @@
 }
 
 TEST(ServerLoadTest, OwnWorkAndReportsAddUpUntilReportsAge) {
-  ServerLoad load(Millis(400));
+  ServerLoad load(ReportTtls{.instance = Millis(400)});
   LoadCharge charge{1, 100, 200};
   uint64_t id = load.Charge("a", charge);
-  load.UpdatePeerLoad("other", {{"a", LoadCharge{2, 30, 40}}}, kStart);
+  load.UpdatePeerLoad(ReportScope::kInstance, "other",
+                      {{"a", LoadCharge{2, 30, 40}}}, kStart);
   EXPECT_EQ(load.At("a", kStart), (LoadCharge{3, 130, 240}));
   EXPECT_EQ(load.At("a", kStart + Millis(401)), charge);
   load.Change(id, LoadCharge{1, 0, 250});
@@ -138,11 +139,48 @@
   EXPECT_TRUE(load.local_load().empty());
 }
 
+TEST(ServerLoadTest, SumsContainEachInstanceOnce) {
+  ServerLoad load(ReportTtls{});
+  load.Charge("a", LoadCharge{1, 0, 0});
+  load.UpdatePeerLoad(ReportScope::kInstance, "peer",
+                      {{"a", LoadCharge{2, 0, 0}}}, kStart);
+  load.UpdatePeerLoad(ReportScope::kCell, "z/2/1", {{"a", LoadCharge{4, 0, 0}}},
+                      kStart);
+  load.UpdatePeerLoad(ReportScope::kZone, "other zone",
+                      {{"a", LoadCharge{8, 0, 0}}}, kStart);
+  EXPECT_EQ(load.Sum(ReportScope::kInstance, kStart)["a"].requests, 3);
+  EXPECT_EQ(load.Sum(ReportScope::kCell, kStart)["a"].requests, 7);
+  EXPECT_EQ(load.At("a", kStart).requests, 15);
+  // Each scope's reports count for a time of their own.
+  ReportTtls ttls;
+  EXPECT_EQ(load.At("a", kStart + ttls.instance + Millis(1)).requests, 13);
+  EXPECT_EQ(load.At("a", kStart + ttls.cell + Millis(1)).requests, 9);
+  EXPECT_EQ(load.At("a", kStart + ttls.zone + Millis(1)).requests, 1);
+}
+
+TEST(ServerLoadTest, ChangesApplyToTheLastReport) {
+  LoadByServer before{{"a", LoadCharge{1, 0, 0}}, {"b", LoadCharge{2, 0, 0}}};
+  LoadByServer after{{"b", LoadCharge{3, 0, 0}}, {"c", LoadCharge{4, 0, 0}}};
+  LoadByServer changes = ChangedCharges(before, after);
+  EXPECT_EQ(changes.size(), 3U);
+  EXPECT_TRUE(ChangedCharges(after, after).empty());
+  ServerLoad load(ReportTtls{});
+  load.UpdatePeerLoad(ReportScope::kInstance, "peer", before, kStart);
+  load.PatchPeerLoad(ReportScope::kInstance, "peer", changes, kStart);
+  EXPECT_EQ(load.Sum(ReportScope::kInstance, kStart), after);
+  // Changes of a peer whose last report was lost or has expired.
+  load.PatchPeerLoad(ReportScope::kInstance, "other", changes, kStart);
+  EXPECT_EQ(load.At("c", kStart).requests, 8);
+}
+
 TEST(ServerLoadTest, NewReportReplacesTheLastOneAndOldOnesGoAlone) {
-  ServerLoad load(Millis(400));
-  load.UpdatePeerLoad("x", {{"a", LoadCharge{2, 30, 40}}}, kStart);
-  load.UpdatePeerLoad("y", {{"a", LoadCharge{1, 0, 7}}}, kStart + Millis(300));
-  load.UpdatePeerLoad("x", {{"b", LoadCharge{5, 0, 0}}}, kStart + Millis(100));
+  ServerLoad load(ReportTtls{.instance = Millis(400)});
+  load.UpdatePeerLoad(ReportScope::kInstance, "x",
+                      {{"a", LoadCharge{2, 30, 40}}}, kStart);
+  load.UpdatePeerLoad(ReportScope::kInstance, "y", {{"a", LoadCharge{1, 0, 7}}},
+                      kStart + Millis(300));
+  load.UpdatePeerLoad(ReportScope::kInstance, "x", {{"b", LoadCharge{5, 0, 0}}},
+                      kStart + Millis(100));
   EXPECT_EQ(load.At("a", kStart + Millis(301)), (LoadCharge{1, 0, 7}));
   EXPECT_EQ(load.At("b", kStart + Millis(301)), (LoadCharge{5, 0, 0}));
   EXPECT_EQ(load.At("b", kStart + Millis(501)), LoadCharge{});
@@ -152,6 +190,17 @@
 
 // All instances together must stay within the bound of a window, however many
 // of them receive the reports of the others.
+// Ids of the instances from `first` to before `end`, without `own`.
+std::set<InstanceId> Peers(size_t own, size_t first, size_t end) {
+  std::set<InstanceId> ids;
+  for (size_t i = first; i < end; ++i) {
+    if (i != own) {
+      ids.insert(std::to_string(i));
+    }
+  }
+  return ids;
+}
+
 TEST(SharedRetryBudgetTest, EntriesTogetherStayWithinTheBound) {
   constexpr size_t kInstances = 9;
   constexpr int kRequests = 20;
@@ -159,10 +208,10 @@
     SharedRetryBudgetOptions options;
     std::vector<SharedRetryBudget> budgets(
         kInstances, SharedRetryBudget(options, kLongAgo));
-    for (SharedRetryBudget& budget : budgets) {
-      budget.SetInstanceCount(kInstances, kStart);
-      for (int i = 0; i < kRequests; ++i) {
-        budget.OnRequest("s", kStart);
+    for (size_t i = 0; i < kInstances; ++i) {
+      budgets[i].SetInstances(kInstances, Peers(i, 0, kInstances), kStart);
+      for (int request = 0; request < kRequests; ++request) {
+        budgets[i].OnRequest("s", kStart);
       }
     }
     int retries = 0;
@@ -183,6 +232,44 @@
   }
 }
 
+// Instances report to their own cell only. The shared part has to be usable all
+// the same, and all cells together stay within the bound.
+TEST(SharedRetryBudgetTest, CellsTogetherStayWithinTheBound) {
+  constexpr size_t kInstances = 48;
+  constexpr size_t kCellSize = 12;
+  constexpr int kRequests = 2;
+  SharedRetryBudgetOptions options;
+  options.fixed = 300;
+  std::vector<SharedRetryBudget> budgets(kInstances,
+                                         SharedRetryBudget(options, kLongAgo));
+  for (size_t i = 0; i < kInstances; ++i) {
+    size_t first = i / kCellSize * kCellSize;
+    budgets[i].SetInstances(kInstances, Peers(i, first, first + kCellSize),
+                            kStart);
+    for (int request = 0; request < kRequests; ++request) {
+      budgets[i].OnRequest("s", kStart);
+    }
+  }
+  int retries = 0;
+  for (int round = 0; round < 100; ++round) {
+    TimePoint now = kStart + Millis(10 * round);
+    for (size_t i = 0; i < kInstances; ++i) {
+      retries += budgets[i].TryAcquire("s", now) ? 1 : 0;
+      size_t first = i / kCellSize * kCellSize;
+      for (size_t j = first; j < first + kCellSize; ++j) {
+        if (j != i) {
+          budgets[j].UpdatePeerCounts(std::to_string(i), 1,
+                                      budgets[i].LocalCounts(now), now);
+        }
+      }
+    }
+  }
+  double bound = options.share * kRequests * kInstances + options.fixed;
+  EXPECT_LE(retries, bound);
+  // The local parts alone are two retries for each instance.
+  EXPECT_GT(retries, 3 * static_cast<int>(kInstances));
+}
+
 // Instances die one after the other. The retries that they used must count for
 // the rest of the window, or the survivors exceed the bound.
 TEST(SharedRetryBudgetTest, WhatDeadEntriesUsedStillCounts) {
@@ -194,7 +281,8 @@
   for (size_t first_alive = 0; first_alive < kInstances; ++first_alive) {
     TimePoint now = kStart + Seconds(3) * first_alive;
     for (size_t i = first_alive; i < kInstances; ++i) {
-      budgets[i].SetInstanceCount(kInstances - first_alive, now);
+      budgets[i].SetInstances(kInstances - first_alive,
+                              Peers(i, first_alive, kInstances), now);
       for (size_t j = 0; j < kInstances; ++j) {
         if (j >= first_alive && j != i) {
           budgets[i].UpdatePeerCounts(std::to_string(j), 1,
@@ -226,7 +314,7 @@
     std::vector<SharedRetryBudget> budgets(kInstances,
                                            SharedRetryBudget(options, started));
     for (size_t i = 0; i < kInstances; ++i) {
-      budgets[i].SetInstanceCount(kInstances, now);
+      budgets[i].SetInstances(kInstances, Peers(i, 0, kInstances), now);
       for (int request = 0; request < kRequests; ++request) {
         budgets[i].OnRequest("s", now);
       }
@@ -250,7 +338,7 @@
 TEST(SharedRetryBudgetTest, WhatAReplacedProcessUsedStillCounts) {
   SharedRetryBudgetOptions options;
   SharedRetryBudget budget(options, kLongAgo);
-  budget.SetInstanceCount(2, kStart);
+  budget.SetInstances(2, {"other"}, kStart);
   std::map<ServiceId, RetryCounts> used{{"s", RetryCounts{0, 50}}};
   budget.UpdatePeerCounts("other", 1, used, kStart);
   TimePoint now = kStart + Millis(500);
@@ -278,7 +366,7 @@
 
 class PlacementTest : public ::testing::Test {
  protected:
-  PlacementTest() : load_(Seconds(1)), placement_([] { return 0.0; }) {}
+  PlacementTest() : load_(ReportTtls{}), placement_([] { return 0.0; }) {}
 
   PlacementChoice Choose(const PlacementQuery& query) {
     return placement_.Choose(query, PlacementContext{snapshot_, load_, health_,
@@ -340,7 +428,8 @@
 TEST_F(PlacementTest, ShortestPrefillQueueWins) {
   Add(MakeServer("a", ServerStage::kPrefill));
   Add(MakeServer("b", ServerStage::kPrefill));
-  load_.UpdatePeerLoad("other", {{"a", LoadCharge{3, 9000, 0}}}, kStart);
+  load_.UpdatePeerLoad(ReportScope::kInstance, "other",
+                       {{"a", LoadCharge{3, 9000, 0}}}, kStart);
   PlacementQuery query;
   query.service = "s";
   query.stage = ServerStage::kPrefill;
--- a/tests/unit/gateway_traffic_test.cc
+++ b/tests/unit/gateway_traffic_test.cc
@@ -34,6 +34,7 @@
  protected:
   GatewayTrafficTest()
       : context_(io_,
+                 "z",
                  callers_,
                  backends_,
                  metrics_,
