Let few instances of each zone read the store

Cause: each instance long-polled two tables.

Change: two readers in each zone, chosen by rendezvous hashing among the live members (core/store_reader_role). The others send long polls to the readers in turn and get changed rows only. Whoever gets no confirmation for 2 s reads the store itself, at a slower pace; a reader that the store turns away follows the others. Servers whose rows expired in an outage are named in the updates, so that followers keep them as long as readers do.

Tests: StoreReaderTest (reader frozen, readers killed, turned away, all turned away, rows expired, old view), StoreReaderRoleTest, StoreReadersTest.

--- a/src/gateway/control/gateway_control.cc
+++ b/src/gateway/control/gateway_control.cc
@@ -54,7 +54,9 @@
       metrics_listener_(io, control_handler_) {
   serving_state_.on_config_changed.Add([this] { OnConfigChanged(); });
   serving_state_.on_servers_changed.Add([this] { PublishCallerAddress(); });
-  serving_state_.peer_addresses = [this] { return PeerAddresses(); };
+  membership_service_.on_change.Add([this](const std::vector<InstanceId>&) {
+    serving_state_.SetMembers(membership_.self().id, membership_.All());
+  });
   membership_service_.on_newer_plan.Add(
       [this](const std::string& address, Revision) {
         serving_state_.PullFrom(address);
@@ -80,14 +82,8 @@
   membership_service_.Leave();
 }
 
-std::vector<std::string> GatewayControl::PeerAddresses() const {
-  std::vector<std::string> addresses;
-  for (const MemberRecord& record : membership_.All()) {
-    if (record.id != membership_.self().id && record.Usable()) {
-      addresses.push_back(record.peer_address);
-    }
-  }
-  return addresses;
+ReportGroup GatewayControl::PeersToReportTo() const {
+  return ChooseReportGroup(membership_.self(), membership_.All());
 }
 
 void GatewayControl::OnPeerRequest(const std::string& path,
@@ -95,8 +91,8 @@
                                    PeerResponder respond) {
   if (path == "/members/probe") {
     respond(membership_service_.OnProbe(message));
-  } else if (path == "/serving/pull") {
-    respond(serving_state_.HandlePull(message));
+  } else if (path == kServingPollPath) {
+    serving_state_.HandlePoll(message, std::move(respond));
   } else {
     respond(Error{ErrorCode::kUnknownPath, path});
   }
--- a/src/gateway/control/gateway_control.h
+++ b/src/gateway/control/gateway_control.h
@@ -12,6 +12,7 @@
 #include "gateway/control/control_handler.h"
 #include "gateway/control/serving_state.h"
 #include "gateway/control/store_client.h"
+#include "gateway/core/report_group.h"
 #include "gateway/gateway.h"
 #include "gateway/settings.h"
 #include "membership/membership_service.h"
@@ -42,8 +43,8 @@
   void StartDraining();
 
   ServingState& serving_state() { return serving_state_; }
-  // Peer addresses ("IP:port") of the other instances that are not dead.
-  std::vector<std::string> PeerAddresses() const;
+  // The other instances that are not dead, by how load is reported to them.
+  ReportGroup PeersToReportTo() const;
   // Notified after membership records changed, with their ids.
   Observers<const std::vector<InstanceId>&>& on_members_changed() {
     return membership_service_.on_change;
--- /dev/null
+++ b/src/gateway/control/serving_feed.h
@@ -0,0 +1,65 @@
+// Long polls of other instances for newer configurations and servers.
+
+#ifndef MANGOYOKE_GATEWAY_CONTROL_SERVING_FEED_H_
+#define MANGOYOKE_GATEWAY_CONTROL_SERVING_FEED_H_
+
+#include <functional>
+#include <list>
+
+#include "mangoyoke/clock.h"
+#include "mangoyoke/plan.h"
+#include "peer/peer_transport.h"
+
+namespace mangoyoke {
+
+// What an instance already knows.
+struct ServingVersions {
+  Revision config = 0;
+  uint64_t registry = 0;  // Version of the store.
+
+  bool operator==(const ServingVersions&) const = default;
+};
+
+// Holds polls until something newer than the requester knows is available or
+// their time is over. Not thread-safe.
+class ServingFeed {
+ public:
+  // `versions` returns what this instance has, `make_update` the response to
+  // an instance that has the given versions. While `is_current` returns false,
+  // this instance may have missed changes, so no poll is held.
+  ServingFeed(std::function<ServingVersions()> versions,
+              std::function<Json(const ServingVersions&)> make_update,
+              std::function<bool()> is_current);
+
+  // Responds at once or later. Throws nlohmann::json::exception if `message` is
+  // malformed.
+  void Poll(const Json& message, PeerResponder respond);
+  // Responds to the polls that something newer is available for. To be called
+  // after each change.
+  void OnChanged();
+  // Responds to the polls whose time is over.
+  void Tick(TimePoint now);
+
+ private:
+  struct PendingPoll {
+    ServingVersions known;
+    TimePoint deadline;
+    PeerResponder respond;
+  };
+
+  bool HasNewer(const ServingVersions& known) const;
+  // Responds to all pending polls that `is_due` selects.
+  void RespondIf(const std::function<bool(const PendingPoll&)>& is_due);
+
+  std::function<ServingVersions()> versions_;
+  std::function<Json(const ServingVersions&)> make_update_;
+  std::function<bool()> is_current_;
+  std::list<PendingPoll> pending_;
+};
+
+// The poll of an instance that knows `known`, to be held for `max_wait`.
+Json EncodeServingPoll(const ServingVersions& known, Millis max_wait);
+
+}  // namespace mangoyoke
+
+#endif  // MANGOYOKE_GATEWAY_CONTROL_SERVING_FEED_H_
--- a/src/gateway/control/serving_state.cc
+++ b/src/gateway/control/serving_state.cc
@@ -1,4 +1,10 @@
-// Applies configurations and servers read from the store or pulled from peers.
+// Applies configurations and servers read from the store or from other
+// instances, and makes updates for other instances.
+//
+// An update is an object with the fields "a" (age of the view in ms), "k" and
+// "c" (key and value of the configuration row), "g" (version of the registry)
+// with "s" (all server rows) or "d" (changed rows; null: removed), and "l" (ids
+// of removed servers that may come back).
 
 #include "gateway/control/serving_state.h"
 
@@ -10,12 +16,16 @@
 namespace {
 
 constexpr Duration kTickInterval = Millis(200);
-// While the store does not respond, one peer is asked every this many ticks.
-constexpr int kTicksBetweenPulls = 3;
-constexpr Millis kPullTimeout{500};
+// Longest delay between retries of an instance that reads the store only since
+// no reader confirms its view.
+constexpr Duration kFallbackMaxBackoff = Seconds(3);
+// Batches of changes kept for updates; an instance that lacks more gets all
+// rows.
+constexpr size_t kMaxRecentChanges = 64;
 // How long the store may hold a long poll for a new configuration. Short enough
-// to detect an unresponsive connection before a change has to be active.
-constexpr Millis kConfigWatchTimeout{1800};
+// to detect an unresponsive store before server rows expire (3.6 s). A reader
+// whose own connection is dead hears of new revisions from its peers.
+constexpr Millis kConfigWatchTimeout{2800};
 // The same for server changes. Longer, to save calls: an unresponsive store is
 // detected by the configuration watch, a dead connection by TCP keep-alive.
 constexpr Millis kServerWatchTimeout{8000};
@@ -31,11 +41,10 @@
                            StoreClient& store,
                            PeerClient& peers,
                            Metrics& metrics)
-    : io_(io),
-      codec_(codec),
+    : codec_(codec),
       store_(store),
-      peers_(peers),
       metrics_(metrics),
+      io_(io),
       registry_(settings.server_reregistration_timeout),
       config_watcher_(
           io,
@@ -60,21 +69,60 @@
           TableWatcherOptions{codec.ServerTable(), kServerWatchTimeout,
                               kServerBatchInterval},
           [this](const std::vector<StoreRow>& rows, uint64_t version) {
-            ReplaceServers(rows, version);
+            ReplaceServers(rows, {}, version);
           },
           [this](const std::vector<StoreRow>& rows, uint64_t version) {
-            ApplyServerChanges(rows, version);
-          }) {}
+            ApplyServerChanges(rows, {}, version);
+          }),
+      role_(StoreReaderOptions{}, SteadyClock::now()),
+      feed_([this] { return Versions(); },
+            [this](const ServingVersions& known) { return MakeUpdate(known); },
+            [this] { return IsCurrent(); }),
+      follower_(io,
+                peers,
+                ServingFollower::Callbacks{[this] { return Versions(); },
+                                           [this](const Json& update) {
+                                             return ApplyUpdate(update);
+                                           }}) {
+  on_config_changed.Add([this] { feed_.OnChanged(); });
+  on_servers_changed.Add([this] { feed_.OnChanged(); });
+}
 
 void ServingState::Start() {
   store_.on_success.Add(
       [this] { registry_.OnStoreSuccess(SteadyClock::now()); });
-  store_.on_failure.Add([this] { registry_.OnStoreFailure(); });
+  store_.on_failure.Add([this] { OnStoreFailure(); });
   store_.on_recovered.Add([this] { server_watcher_.RestartWatch(); });
-  config_watcher_.Start();
-  server_watcher_.Start();
   tick_timer_ =
       std::make_unique<PeriodicTimer>(io_, kTickInterval, [this] { Tick(); });
+  Tick();
+}
+
+void ServingState::SetMembers(const InstanceId& self,
+                              const std::vector<MemberRecord>& members) {
+  ZoneId zone;
+  std::vector<std::string> others;
+  for (const MemberRecord& member : members) {
+    if (member.id == self) {
+      zone = member.zone;
+    } else if (member.Usable()) {
+      others.push_back(member.peer_address);
+    }
+  }
+  bool is_reader = false;
+  std::vector<std::string> readers;
+  for (const MemberRecord& reader : ChooseStoreReaders(zone, members)) {
+    if (reader.id == self) {
+      is_reader = true;
+    } else {
+      readers.push_back(reader.peer_address);
+    }
+  }
+  role_.SetReaders(is_reader, !readers.empty());
+  follower_.SetTargets(std::move(readers), std::move(others));
+  if (tick_timer_) {
+    UpdateRole(SteadyClock::now());
+  }
 }
 
 void ServingState::ApplyConfigRow(const StoreRow& row,
@@ -119,93 +167,176 @@
 }
 
 void ServingState::ReplaceServers(const std::vector<StoreRow>& rows,
+                                  const std::set<BackendId>& lapsed,
                                   uint64_t version) {
   if (version < registry_.version()) {
     return;
   }
   server_rows_.clear();
-  std::vector<RegistryChange> servers;
+  std::vector<RegistryChange> changes;
   for (const StoreRow& row : rows) {
-    servers.push_back(DecodeServerRow(row));
+    changes.push_back(DecodeServerRow(row));
     server_rows_[row.key] = row.value.value_or("");
   }
-  registry_.Replace(version, servers, SteadyClock::now());
+  for (const BackendId& id : lapsed) {
+    changes.push_back(RegistryChange{id, std::nullopt, true});
+  }
+  recent_changes_.clear();
+  changes_start_ = version;
+  registry_.Replace(version, changes, SteadyClock::now());
   on_servers_changed.Notify();
 }
 
 void ServingState::ApplyServerChanges(const std::vector<StoreRow>& rows,
+                                      const std::set<BackendId>& lapsed,
                                       uint64_t version) {
   if (version <= registry_.version()) {
-    return;  // Already pulled from a peer.
+    return;  // Already known from another source.
   }
   std::vector<RegistryChange> changes;
   for (const StoreRow& row : rows) {
     changes.push_back(DecodeServerRow(row));
+    changes.back().lapsed = lapsed.contains(row.key);
     if (row.value) {
       server_rows_[row.key] = *row.value;
     } else {
       server_rows_.erase(row.key);
     }
   }
+  RecordChanges(rows, version);
   registry_.Apply(version, changes, SteadyClock::now());
   on_servers_changed.Notify();
 }
 
+void ServingState::RecordChanges(const std::vector<StoreRow>& rows,
+                                 uint64_t version) {
+  ServerChanges changes{version, {}};
+  for (const StoreRow& row : rows) {
+    changes.ids.push_back(row.key);
+  }
+  recent_changes_.push_back(std::move(changes));
+  if (recent_changes_.size() > kMaxRecentChanges) {
+    changes_start_ = recent_changes_.front().version;
+    recent_changes_.pop_front();
+  }
+}
+
+bool ServingState::ReadsCurrently() const {
+  return reads_store_ && store_.reachable() && config_ &&
+         registry_.version() > 0;
+}
+
+bool ServingState::IsCurrent() const {
+  return ReadsCurrently() || (config_ && role_.IsConfirmed(SteadyClock::now()));
+}
+
+void ServingState::OnStoreFailure() {
+  if (!role_.IsConfirmed(SteadyClock::now())) {
+    registry_.OnStoreFailure();
+  }
+}
+
 void ServingState::Tick() {
-  if (registry_.RemoveLapsedServers(SteadyClock::now())) {
-    on_servers_changed.Notify();
+  TimePoint now = SteadyClock::now();
+  UpdateRole(now);
+  if (!ReadsCurrently()) {
+    OnStoreFailure();
   }
-  if (store_.reachable() && config_) {
-    ticks_without_store_or_config_ = 0;
-    return;
+  if (registry_.RemoveLapsedServers(now)) {
+    on_servers_changed.Notify();
   }
-  if (++ticks_without_store_or_config_ % kTicksBetweenPulls != 0 ||
-      !peer_addresses) {
-    return;
+  feed_.Tick(now);
+}
+
+void ServingState::UpdateRole(TimePoint now) {
+  bool reads = role_.UpdateAndCheckReads(now);
+  if (std::exchange(reads_store_, reads) != reads) {
+    LogEvent(reads ? "store_reading_started" : "store_reading_stopped")
+        .Field("reader", static_cast<int64_t>(role_.is_reader()))
+        .Field("unconfirmed_ms", ToMillis(role_.Age(now)));
+    metrics_.SetGauge("mangoyoke_reads_store", reads ? 1 : 0);
   }
-  std::vector<std::string> peers = peer_addresses();
-  if (!peers.empty()) {
-    next_peer_ = (next_peer_ + 1) % peers.size();
-    PullFrom(peers[next_peer_]);
+  for (TableWatcher* watcher : {&config_watcher_, &server_watcher_}) {
+    watcher->SetMaxBackoff(role_.is_reader() ? TableWatcher::kDefaultMaxBackoff
+                                             : kFallbackMaxBackoff);
+    if (reads) {
+      watcher->Start();
+    } else {
+      watcher->Stop();
+    }
   }
+  follower_.SetRunning(!ReadsCurrently());
 }
 
-void ServingState::PullFrom(const std::string& address) {
-  Json request{{"c", config_ ? config_->revision() : 0},
-               {"g", registry_.version()}};
-  peers_.Call(address, "/serving/pull", request, kPullTimeout,
-              [this](Result<Json> result) {
-                if (const auto* response = std::get_if<Json>(&result)) {
-                  ApplyPullResponse(*response);
-                }
-              });
+ServingVersions ServingState::Versions() const {
+  return ServingVersions{config_ ? config_->revision() : 0,
+                         registry_.version()};
 }
 
-Json ServingState::HandlePull(const Json& message) const {
-  Json response = Json::object();
-  if (config_ && config_->revision() > message.value("c", Revision{0})) {
-    response["k"] = config_row_.key;
-    response["c"] = config_row_.value.value_or("");
+Json ServingState::MakeUpdate(const ServingVersions& known) const {
+  Json update = Json::object();
+  update["a"] = ReadsCurrently() ? 0 : ToMillis(role_.Age(SteadyClock::now()));
+  if (config_ && config_->revision() > known.config) {
+    update["k"] = config_row_.key;
+    update["c"] = config_row_.value.value_or("");
   }
-  if (registry_.version() > message.value("g", uint64_t{0})) {
-    response["g"] = registry_.version();
-    response["s"] = server_rows_;
+  if (registry_.version() > known.registry) {
+    AddServerUpdate(known, update);
   }
-  return response;
+  return update;
 }
 
-void ServingState::ApplyPullResponse(const Json& response) {
-  if (response.contains("c")) {
-    StoreRow row{response.value("k", ""), response.value("c", "")};
+void ServingState::AddServerUpdate(const ServingVersions& known,
+                                   Json& update) const {
+  update["g"] = registry_.version();
+  update["l"] = registry_.LapsedServers();
+  if (known.registry < changes_start_ || known.registry == 0) {
+    update["s"] = server_rows_;
+    return;
+  }
+  Json rows = Json::object();
+  for (const ServerChanges& changes : recent_changes_) {
+    if (changes.version <= known.registry) {
+      continue;
+    }
+    for (const BackendId& id : changes.ids) {
+      auto row = server_rows_.find(id);
+      rows[id] = row == server_rows_.end() ? Json() : Json(row->second);
+    }
+  }
+  update["d"] = std::move(rows);
+}
+
+bool ServingState::ApplyUpdate(const Json& update) {
+  TimePoint now = SteadyClock::now();
+  Duration age = FromMillis(update.at("a").get<double>());
+  TimePoint as_of = now - std::max(age, Duration::zero());
+  role_.OnConfirmed(as_of);
+  if (role_.IsConfirmed(now)) {
+    registry_.OnStoreSuccess(now);
+  }
+  if (update.contains("c")) {
+    StoreRow row{update.value("k", ""), update.value("c", "")};
     ApplyConfigRow(row, "instance");
   }
-  if (response.contains("g")) {
+  if (update.contains("g")) {
+    auto version = update.at("g").get<uint64_t>();
+    auto lapsed = update.at("l").get<std::set<BackendId>>();
+    bool complete = update.contains("s");
     std::vector<StoreRow> rows;
-    for (const auto& [key, value] : response.at("s").items()) {
-      rows.push_back(StoreRow{key, value.get<std::string>()});
+    for (const auto& [key, value] : update.at(complete ? "s" : "d").items()) {
+      rows.push_back(StoreRow{key, std::nullopt});
+      if (!value.is_null()) {
+        rows.back().value = value.get<std::string>();
+      }
+    }
+    if (complete) {
+      ReplaceServers(rows, lapsed, version);
+    } else {
+      ApplyServerChanges(rows, lapsed, version);
     }
-    ReplaceServers(rows, response.at("g").get<uint64_t>());
   }
+  return now - as_of <= StoreReaderOptions{}.max_unconfirmed;
 }
 
 }  // namespace mangoyoke
--- a/src/gateway/control/serving_state.h
+++ b/src/gateway/control/serving_state.h
@@ -1,5 +1,6 @@
 // The active configuration and the registry of backend servers, read from the
-// store while it responds and from other instances otherwise.
+// store by a few instances of each availability zone and from those by all
+// others (core/store_reader_role.h).
 //
 // A configuration becomes active only if its revision is higher than that of
 // the active one, whatever its source, so the configuration never reverts.
@@ -8,27 +9,32 @@
 #define MANGOYOKE_GATEWAY_CONTROL_SERVING_STATE_H_
 
 #include <boost/asio/io_context.hpp>
+#include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "base/metrics.h"
 #include "base/observers.h"
 #include "base/periodic_timer.h"
+#include "gateway/control/serving_feed.h"
+#include "gateway/control/serving_follower.h"
 #include "gateway/control/store_client.h"
 #include "gateway/control/table_watcher.h"
 #include "gateway/core/backend_registry.h"
 #include "gateway/core/codecs.h"
+#include "gateway/core/store_reader_role.h"
 #include "gateway/settings.h"
 #include "peer/peer_transport.h"
 
 namespace mangoyoke {
 
-// Watches the configuration table and the server table. While the store does
-// not respond, or no configuration is known yet, it pulls both from the other
-// instances in turn. Not thread-safe: after Start, use it only on the thread
-// that runs `io`.
+// Watches the configuration table and the server table if this instance is a
+// reader, and follows the readers otherwise. A reader that the store does not
+// respond to follows the others. Not thread-safe: after Start, use it only on
+// the thread that runs `io`.
 class ServingState {
  public:
   // All references must outlive the object.
@@ -39,18 +45,22 @@
                PeerClient& peers,
                Metrics& metrics);
 
-  // Starts reading and watching the store. Call once.
+  // Starts reading the store or following its readers. Call once.
   void Start();
+  // Sets the members of the deployment, which determine the readers. `self` is
+  // the id of this instance.
+  void SetMembers(const InstanceId& self,
+                  const std::vector<MemberRecord>& members);
 
   // Requests newer configuration and servers from the instance at `address`. If
   // that fails, nothing changes.
-  void PullFrom(const std::string& address);
-  // Returns the response to another instance's pull: the configuration and the
-  // server rows, each only if newer than what `message` says the peer has.
-  Json HandlePull(const Json& message) const;
-  // Returns the addresses of the instances to pull from while the store does
-  // not respond. Set before Start.
-  std::function<std::vector<std::string>()> peer_addresses;
+  void PullFrom(const std::string& address) { follower_.PollOnce(address); }
+  // Responds to another instance's poll: the configuration and the server rows,
+  // each only if newer than what the instance has. Throws
+  // nlohmann::json::exception if `message` is malformed.
+  void HandlePoll(const Json& message, PeerResponder respond) {
+    feed_.Poll(message, std::move(respond));
+  }
 
   // Null until a configuration is known.
   std::shared_ptr<const ServingConfig> config() const { return config_; }
@@ -64,29 +74,59 @@
   Observers<> on_servers_changed;
 
  private:
+  // One batch of changed rows, for updates of other instances.
+  struct ServerChanges {
+    uint64_t version = 0;  // The store version up to which it is complete.
+    std::vector<BackendId> ids;
+  };
+
   void ApplyConfigRow(const StoreRow& row, std::string_view source);
-  void ReplaceServers(const std::vector<StoreRow>& rows, uint64_t version);
-  void ApplyServerChanges(const std::vector<StoreRow>& rows, uint64_t version);
+  void ReplaceServers(const std::vector<StoreRow>& rows,
+                      const std::set<BackendId>& lapsed,
+                      uint64_t version);
+  void ApplyServerChanges(const std::vector<StoreRow>& rows,
+                          const std::set<BackendId>& lapsed,
+                          uint64_t version);
+  void RecordChanges(const std::vector<StoreRow>& rows, uint64_t version);
   // A change without a server if the row was deleted or cannot be decoded.
   RegistryChange DecodeServerRow(const StoreRow& row) const;
-  void ApplyPullResponse(const Json& response);
+
+  ServingVersions Versions() const;
+  // What an instance that has `known` lacks, and the age of this view.
+  Json MakeUpdate(const ServingVersions& known) const;
+  void AddServerUpdate(const ServingVersions& known, Json& update) const;
+  // Applies the update of another instance. Returns whether its view is
+  // current.
+  bool ApplyUpdate(const Json& update);
+  // Whether this instance reads the store and the store responds.
+  bool ReadsCurrently() const;
+  // Whether the view is current: read from the store, or confirmed by a reader.
+  bool IsCurrent() const;
+  void OnStoreFailure();
   void Tick();
+  // Starts or stops reading the store.
+  void UpdateRole(TimePoint now);
 
-  boost::asio::io_context& io_;
   const StoreCodec& codec_;
   StoreClient& store_;
-  PeerClient& peers_;
   Metrics& metrics_;
+  boost::asio::io_context& io_;
   BackendRegistry registry_;
   std::shared_ptr<const ServingConfig> config_;
-  // Rows as read from the store, sent to peers that pull them.
+  // Rows as read from the store, sent to other instances.
   StoreRow config_row_;
   std::map<BackendId, std::string> server_rows_;
+  // The last changes of server_rows_, oldest first, complete from
+  // changes_start_ on.
+  std::deque<ServerChanges> recent_changes_;
+  uint64_t changes_start_ = 0;
   TableWatcher config_watcher_;
   TableWatcher server_watcher_;
+  StoreReaderRole role_;
+  bool reads_store_ = false;
+  ServingFeed feed_;
+  ServingFollower follower_;
   std::unique_ptr<PeriodicTimer> tick_timer_;
-  size_t next_peer_ = 0;
-  int ticks_without_store_or_config_ = 0;
 };
 
 }  // namespace mangoyoke
--- a/src/gateway/control/table_watcher.cc
+++ b/src/gateway/control/table_watcher.cc
@@ -14,7 +14,8 @@
 constexpr Duration kResponseMargin = Millis(700);
 constexpr Duration kReadTimeout = Millis(1500);
 constexpr Duration kInitialBackoff = Millis(80);
-constexpr Duration kMaxBackoff = Millis(600);
+// Exponent of the longest backoff.
+constexpr int kMaxBackoffDoublings = 6;
 
 }  // namespace
 
@@ -31,9 +32,30 @@
       on_changes_(std::move(on_changes)),
       timer_(io) {}
 
+void TableWatcher::Start() {
+  if (running()) {
+    return;
+  }
+  ++generation_;
+  consecutive_failures_ = 0;
+  ReadPage("");
+}
+
+void TableWatcher::Stop() {
+  if (!running()) {
+    return;
+  }
+  ++generation_;
+  timer_.cancel();
+  store_.Cancel(std::exchange(read_call_, 0));
+  store_.Cancel(std::exchange(watch_call_, 0));
+}
+
 Duration TableWatcher::NextBackoff() {
-  Duration delay = std::min(
-      kInitialBackoff * (1 << std::min(consecutive_failures_, 4)), kMaxBackoff);
+  Duration delay =
+      std::min(kInitialBackoff *
+                   (1 << std::min(consecutive_failures_, kMaxBackoffDoublings)),
+               max_backoff_);
   ++consecutive_failures_;
   double jitter = std::uniform_real_distribution<double>(0.5, 1.0)(random_);
   return FromMillis(ToMillis(delay) * jitter);
@@ -42,8 +64,9 @@
 void TableWatcher::RunAfter(Duration delay, std::function<void()> action) {
   timer_.expires_after(delay);
   timer_.async_wait(
-      [action = std::move(action)](const boost::system::error_code& error) {
-        if (!error) {
+      [this, generation = generation_,
+       action = std::move(action)](const boost::system::error_code& error) {
+        if (!error && generation == generation_) {
           action();
         }
       });
@@ -53,9 +76,11 @@
   if (from.empty()) {
     snapshot_rows_.clear();
   }
-  store_.Call(
-      codec_.EncodeRead(options_.table, from), kReadTimeout,
-      [this](ExchangeOutcome outcome) { OnReadEnd(std::move(outcome)); });
+  read_call_ = store_.Call(codec_.EncodeRead(options_.table, from),
+                           kReadTimeout, [this](ExchangeOutcome outcome) {
+                             read_call_ = 0;
+                             OnReadEnd(std::move(outcome));
+                           });
 }
 
 void TableWatcher::OnReadEnd(ExchangeOutcome outcome) {
@@ -86,7 +111,9 @@
   version_ = first_page_version_;
   on_snapshot_(snapshot_rows_, version_);
   snapshot_rows_.clear();
-  Watch();
+  if (running()) {
+    Watch();
+  }
 }
 
 void TableWatcher::Watch() {
@@ -131,7 +158,9 @@
     return;
   }
   on_changes_(changes->rows, version_);
-  RunAfter(options_.batch_interval, [this] { Watch(); });
+  if (running()) {
+    RunAfter(options_.batch_interval, [this] { Watch(); });
+  }
 }
 
 }  // namespace mangoyoke
--- a/src/gateway/control/table_watcher.h
+++ b/src/gateway/control/table_watcher.h
@@ -31,6 +31,8 @@
 // page.
 class TableWatcher {
  public:
+  static constexpr Duration kDefaultMaxBackoff = Millis(600);
+
   // Receives all rows or the changed rows, and the store version up to which
   // they are complete.
   using RowsCallback =
@@ -45,8 +47,12 @@
                RowsCallback on_snapshot,
                RowsCallback on_changes);
 
-  // Starts the first full read. Call once.
-  void Start() { ReadPage(""); }
+  // Starts with a full read. No effect while the watcher runs.
+  void Start();
+  // Ends the call in progress. The watcher can be started again.
+  void Stop();
+  // Sets the longest delay before a retry.
+  void SetMaxBackoff(Duration max_backoff) { max_backoff_ = max_backoff; }
   // Cancels the long poll in progress, if any, and sends a new one. For use
   // after an outage of the store, which may never respond to the old one.
   void RestartWatch();
@@ -57,7 +63,8 @@
   void OnReadEnd(ExchangeOutcome outcome);
   void Watch();
   void OnWatchEnd(ExchangeOutcome outcome);
-  // Calls `action` after `delay`.
+  bool running() const { return generation_ % 2 == 1; }
+  // Calls `action` after `delay`, unless the watcher is stopped before.
   void RunAfter(Duration delay, std::function<void()> action);
   // Returns the delay before the next retry and counts the failure.
   Duration NextBackoff();
@@ -73,6 +80,11 @@
   uint64_t first_page_version_ = 0;
   uint64_t version_ = 0;  // All changes up to here were passed on.
   int consecutive_failures_ = 0;
+  Duration max_backoff_ = kDefaultMaxBackoff;
+  // Raised by each start and stop, so that actions scheduled before have no
+  // effect. Odd while the watcher runs.
+  uint64_t generation_ = 0;
+  uint64_t read_call_ = 0;   // Id of the read in progress; 0: none.
   uint64_t watch_call_ = 0;  // Id of the long poll in progress; 0: none.
 };
 
--- a/src/gateway/core/backend_registry.cc
+++ b/src/gateway/core/backend_registry.cc
@@ -49,7 +49,7 @@
   version_ = std::max(version_, version);
   for (const RegistryChange& change : changes) {
     if (!change.server) {
-      Remove(change.id, now);
+      Remove(change, now);
       continue;
     }
     lapsed_.erase(change.id);
@@ -78,19 +78,29 @@
          (store_recovered_at_ && now < *store_recovered_at_ + renewal_timeout_);
 }
 
-void BackendRegistry::Remove(const BackendId& id, TimePoint now) {
-  auto found = servers_.find(id);
-  if (found == servers_.end() || lapsed_.contains(id)) {
+std::vector<BackendId> BackendRegistry::LapsedServers() const {
+  std::vector<BackendId> ids;
+  for (const auto& [id, removal_time] : lapsed_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+void BackendRegistry::Remove(const RegistryChange& change, TimePoint now) {
+  auto found = servers_.find(change.id);
+  if (found == servers_.end() || lapsed_.contains(change.id)) {
     return;
   }
   // A leaving server is not expected to renew its row, so it is not kept.
-  if (RowMayHaveExpired(now) && found->second.state == ServerState::kReady) {
-    lapsed_[id] = store_failing_ ? now + renewal_timeout_
-                                 : *store_recovered_at_ + renewal_timeout_;
-    LogEvent("server_lapsed").Field("server", id);
+  if ((change.lapsed || RowMayHaveExpired(now)) &&
+      found->second.state == ServerState::kReady) {
+    bool recovered_here = !change.lapsed && !store_failing_;
+    lapsed_[change.id] =
+        (recovered_here ? *store_recovered_at_ : now) + renewal_timeout_;
+    LogEvent("server_lapsed").Field("server", change.id);
     return;
   }
-  LogEvent("server_gone").Field("server", id);
+  LogEvent("server_gone").Field("server", change.id);
   servers_.erase(found);
 }
 
--- a/src/gateway/core/backend_registry.h
+++ b/src/gateway/core/backend_registry.h
@@ -24,6 +24,9 @@
 struct RegistryChange {
   BackendId id;
   std::optional<BackendServer> server;
+  // For a removed row: another instance keeps the server, since its row may
+  // have expired because of a store outage.
+  bool lapsed = false;
 };
 
 // Tracks the known backend servers and publishes them as immutable snapshots.
@@ -35,8 +38,8 @@
       : renewal_timeout_(renewal_timeout) {}
 
   // Replaces the registry by all rows as of store version `version`. Servers
-  // that are not in `rows` count as removed. Logs and ignores a version lower
-  // than the known one.
+  // without a change in `rows` count as removed. Logs and ignores a version
+  // lower than the known one.
   void Replace(uint64_t version,
                const std::vector<RegistryChange>& rows,
                TimePoint now);
@@ -56,14 +59,14 @@
   // All known servers, lapsed ones included. Replaced by a new value at every
   // change.
   std::shared_ptr<const ServerSnapshot> Snapshot() const { return snapshot_; }
-  // Whether any lapsed servers are kept.
-  bool HasLapsed() const { return !lapsed_.empty(); }
+  // The ids of the lapsed servers, which are kept for the time being.
+  std::vector<BackendId> LapsedServers() const;
 
  private:
   // Whether a row that disappears now may have expired because of an outage.
   bool RowMayHaveExpired(TimePoint now) const;
   // Handles a removed row: marks the server as lapsed or removes it.
-  void Remove(const BackendId& id, TimePoint now);
+  void Remove(const RegistryChange& change, TimePoint now);
   void Publish();
 
   Duration renewal_timeout_;
