Survive split last chunks and bytes without end

Found while writing tests for servers that send bytes without end.

A chunked request or response whose last chunk arrives as "0 CRLF" with the blank line later ended the process: Beast's parser (1.74) asserts when it is given these bytes a second time. Any caller and any server could do this with a valid message. Now such bytes wait for the rest (gateway/net/chunked_body.h). Without the check ListenerTest.ChunkedBodiesMayBeSplitAnywhere and HttpConnectionTest.ChunkedResponsesMayBeSplitAnywhere abort.

Six shapes of endless bytes were read until the request's timeout, with a growing buffer for two of them: interim responses, responses to other requests and their bodies, chunk sizes and chunk extensions. Now an exchange ends after 64 KB that cannot be parsed, 16 skipped responses or 1 MB of their bodies; callers get 400 for the first. An event without end ends its attempt after 1 MB, and is no longer searched from its start for each read. Bodies collected in memory share a limit of 32 MB. Without the limits, six of EndlessBytesTest fail.

Comments in an event stream reset the timeout between events, so a stalled server that sends one now and then was never given up. Only events with data count as progress now.

Also new: a chunked response cut at any byte is incomplete.

--- a/src/gateway/core/event_stream_framer.cc
+++ b/src/gateway/core/event_stream_framer.cc
@@ -2,6 +2,8 @@
 
 #include "gateway/core/event_stream_framer.h"
 
+#include <algorithm>
+
 namespace mangoyoke {
 namespace {
 
@@ -21,14 +23,33 @@
   return end;
 }
 
+// Whether `event` has a data field.
+bool HasData(std::string_view event) {
+  constexpr std::string_view kField = "data";
+  for (size_t pos = event.find(kField); pos != std::string_view::npos;
+       pos = event.find(kField, pos + 1)) {
+    bool line_start = pos == 0 || event[pos - 1] == '\n';
+    size_t next = pos + kField.size();
+    if (line_start && (next == event.size() || event[next] == ':' ||
+                       event[next] == '\n' || event[next] == '\r')) {
+      return true;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 std::string EventStreamFramer::Push(std::string_view bytes) {
+  // An end can begin in the bytes searched before.
+  size_t searched = partial_event_.size();
+  size_t from = searched - std::min(searched, kCrLfEventEnd.size() - 1);
   partial_event_.append(bytes);
-  size_t end = FindEventsEnd(partial_event_);
+  size_t end = FindEventsEnd(std::string_view(partial_event_).substr(from));
   if (end == 0) {
     return {};
   }
+  end += from;
   std::string events = partial_event_.substr(0, end);
   partial_event_.erase(0, end);
   CountEvents(events);
@@ -39,9 +60,11 @@
 void EventStreamFramer::CountEvents(std::string_view events) {
   bool uses_crlf = events.ends_with(kCrLfEventEnd);
   std::string_view end = uses_crlf ? kCrLfEventEnd : kLfEventEnd;
+  size_t start = 0;
   for (size_t pos = events.find(end); pos != std::string_view::npos;
-       pos = events.find(end, pos + end.size())) {
-    ++event_count_;
+       pos = events.find(end, start)) {
+    event_count_ += HasData(events.substr(start, pos - start)) ? 1 : 0;
+    start = pos + end.size();
   }
 }
 
--- a/src/gateway/core/event_stream_framer.h
+++ b/src/gateway/core/event_stream_framer.h
@@ -15,16 +15,22 @@
 // with a blank line, by LF or CR LF.
 class EventStreamFramer {
  public:
+  static constexpr size_t kMaxEventBytes = 1 << 20;
+
   // Appends received bytes. Returns, unchanged, the events that are complete
   // now and were not returned before; empty if there are none.
   std::string Push(std::string_view bytes);
+  // Whether the event in progress is longer than any event may be. The stream
+  // then has to be given up.
+  bool overlong() const { return partial_event_.size() > kMaxEventBytes; }
   // Bytes received after the last complete event.
   std::string_view partial_event() const { return partial_event_; }
   // Discards a partial event, before another server resumes the stream.
   void DiscardPartialEvent() { partial_event_.clear(); }
   // The last event id in the complete events; empty if none had an id.
   const std::string& last_event_id() const { return last_event_id_; }
-  // Number of complete events returned so far.
+  // Number of complete events with data returned so far. Comments, which a
+  // stalled server may go on sending, do not count.
   int64_t event_count() const { return event_count_; }
   // Whether any complete event was returned.
   bool started() const { return event_count_ > 0; }
--- a/src/gateway/net/connection_pool.h
+++ b/src/gateway/net/connection_pool.h
@@ -36,6 +36,12 @@
   // false.
   void Sweep(const std::function<bool(const std::string&)>& in_use);
 
+  // Reserves memory for `bytes` of a response body that is collected. False if
+  // the bodies on all connections would exceed their common limit.
+  bool ReserveBody(size_t bytes);
+  // Returns memory that was reserved.
+  void ReleaseBody(size_t bytes) { body_bytes_ -= bytes; }
+
   // Number of connections created since the start.
   uint64_t opened() const { return opened_; }
 
@@ -51,6 +57,7 @@
   // By address, the most recently used connection last.
   std::map<std::string, std::vector<std::shared_ptr<HttpConnection>>> idle_;
   uint64_t opened_ = 0;
+  size_t body_bytes_ = 0;  // Reserved now.
 };
 
 }  // namespace mangoyoke
--- a/src/gateway/net/http_connection.cc
+++ b/src/gateway/net/http_connection.cc
@@ -6,6 +6,8 @@
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 
+#include "gateway/net/chunked_body.h"
+
 namespace mangoyoke {
 namespace {
 
@@ -15,6 +17,11 @@
 // The connection fails if written bytes stay unacknowledged this long.
 constexpr Millis kUnackedTimeout{1500};
 constexpr size_t kReadBytes = 8 << 10;
+// Limits for a server that sends bytes without end that are no response:
+// interim responses and responses to earlier requests in one exchange, with
+// their bodies.
+constexpr int kMaxSkippedResponses = 16;
+constexpr size_t kMaxSkippedBytes = 1 << 20;
 
 // Parses "timeout=N" (seconds) in the value of a Keep-Alive header.
 std::optional<Duration> ParseKeepAliveTimeout(std::string_view value) {
@@ -51,6 +58,8 @@
   request_id_ = request_id;
   observer_ = &observer;
   maybe_sent_ = false;
+  skipped_responses_ = 0;
+  skipped_bytes_ = 0;
   ++exchanges_;
   ResetParser();
   if (connected_) {
@@ -134,7 +143,8 @@
 }
 
 void HttpConnection::Parse() {
-  while (observer_ != nullptr && buffer_.size() > 0) {
+  while (observer_ != nullptr && buffer_.size() > 0 &&
+         !HasToWaitForChunkEnd(*parser_, buffer_)) {
     boost::system::error_code error;
     size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
@@ -152,6 +162,10 @@
     if (observer_ == nullptr || closed_) {
       return;
     }
+    if (SendsWithoutEnd()) {
+      Finish(ExchangeResult::kIncomplete);
+      return;
+    }
     if (parser_->is_done()) {
       if (skip_response_) {
         ResetParser();
@@ -171,7 +185,7 @@
   head_done_ = true;
   const auto& head = parser_->get().base();
   if (head.result_int() / 100 == 1) {
-    skip_response_ = true;  // Interim response; the final one follows.
+    SkipResponse();  // Interim response; the final one follows.
     return;
   }
   std::string id =
@@ -181,7 +195,7 @@
   bool matches = request_id_.empty() || id == request_id_ ||
                  (id.empty() && exchanges_ == 1);
   if (!matches) {
-    skip_response_ = true;
+    SkipResponse();
     return;
   }
   if (auto found = head.find(http::field::keep_alive); found != head.end()) {
@@ -193,11 +207,24 @@
 
 void HttpConnection::DeliverBody() {
   std::string data = std::exchange(parser_->get().body(), std::string());
-  if (head_done_ && !skip_response_ && !data.empty()) {
+  if (skip_response_) {
+    skipped_bytes_ += data.size();
+  } else if (head_done_ && !data.empty()) {
     observer_->OnData(std::move(data));
   }
 }
 
+void HttpConnection::SkipResponse() {
+  skip_response_ = true;
+  ++skipped_responses_;
+}
+
+bool HttpConnection::SendsWithoutEnd() const {
+  return buffer_.size() > kMaxUnparsedBytes ||
+         skipped_responses_ > kMaxSkippedResponses ||
+         skipped_bytes_ > kMaxSkippedBytes;
+}
+
 void HttpConnection::ResetParser() {
   parser_.emplace();
   parser_->eager(true);
--- a/src/gateway/net/http_connection.h
+++ b/src/gateway/net/http_connection.h
@@ -7,6 +7,8 @@
 // - Delivers only the response that echoes the request's id, or, in the first
 //   exchange of a connection, one without an id. Late responses to earlier
 //   requests on the connection are skipped.
+// - Bounds what it keeps and skips, so that a server that sends bytes without
+//   end occupies neither memory nor the thread.
 
 #ifndef MANGOYOKE_GATEWAY_NET_HTTP_CONNECTION_H_
 #define MANGOYOKE_GATEWAY_NET_HTTP_CONNECTION_H_
@@ -98,6 +100,10 @@
   void Parse();
   void OnHeadParsed();
   void DeliverBody();
+  // The response whose head was parsed is not the one waited for.
+  void SkipResponse();
+  // Whether more bytes came that are no response than a sound server sends.
+  bool SendsWithoutEnd() const;
   void ResetParser();
   void OnReadError(const boost::system::error_code& error);
   void Finish(ExchangeResult result);
@@ -127,6 +133,9 @@
   bool head_done_ = false;
   // The response in parser_ is interim or for another request.
   bool skip_response_ = false;
+  // Interim and other responses skipped in this exchange, and their bodies.
+  int skipped_responses_ = 0;
+  size_t skipped_bytes_ = 0;
   bool keep_alive_ = true;  // The server keeps the connection open.
 };
 
--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -12,6 +12,7 @@
 #include <sstream>
 
 #include "base/log.h"
+#include "gateway/net/chunked_body.h"
 
 namespace mangoyoke {
 namespace {
@@ -92,7 +93,8 @@
     state_ = State::kReading;
     ArmTimer(handler_.Limits().header_timeout);
   }
-  while (buffer_.size() > 0 && !parser_->is_done()) {
+  while (buffer_.size() > 0 && !parser_->is_done() &&
+         !HasToWaitForChunkEnd(*parser_, buffer_)) {
     boost::system::error_code error;
     size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
@@ -107,6 +109,11 @@
       break;
     }
   }
+  if (head_parsed_ && !parser_->is_done() &&
+      buffer_.size() > kMaxUnparsedBytes) {
+    RejectRequest(http::make_error_code(http::error::buffer_overflow));
+    return;
+  }
   if (parser_->is_done()) {
     Dispatch();
   } else {
--- a/src/gateway/net/timed_exchange.cc
+++ b/src/gateway/net/timed_exchange.cc
@@ -7,8 +7,9 @@
 namespace mangoyoke {
 namespace {
 
-// Maximum size of a response body that is collected in memory. A larger one
-// ends the exchange as kIncomplete.
+// Maximum size of one response body that is collected in memory. A larger one
+// ends the exchange as kIncomplete, as does one for which the pool's limit
+// leaves no room.
 constexpr size_t kMaxBufferedBodyBytes = 16 << 20;
 
 }  // namespace
@@ -17,6 +18,7 @@
     : io_(io), pool_(pool), timer_(io) {}
 
 TimedExchange::~TimedExchange() {
+  pool_.ReleaseBody(outcome_.body.size());
   if (connection_) {
     connection_->Close();
   }
@@ -59,6 +61,13 @@
   });
 }
 
+void TimedExchange::Abort() {
+  if (connection_) {
+    connection_->Close();
+    OnEnd(ExchangeResult::kIncomplete);
+  }
+}
+
 void TimedExchange::SetPaused(bool paused) {
   if (connection_) {
     connection_->SetPaused(paused);
@@ -77,11 +86,12 @@
     callbacks_.on_data(std::move(data));
     return;
   }
-  outcome_.body.append(data);
-  if (outcome_.body.size() > kMaxBufferedBodyBytes) {
-    connection_->Close();
-    OnEnd(ExchangeResult::kIncomplete);
+  if (outcome_.body.size() + data.size() > kMaxBufferedBodyBytes ||
+      !pool_.ReserveBody(data.size())) {
+    Abort();
+    return;
   }
+  outcome_.body.append(data);
 }
 
 void TimedExchange::OnEnd(ExchangeResult result) {
@@ -90,11 +100,12 @@
   if (connection && result == ExchangeResult::kComplete) {
     pool_.Return(address_, std::move(connection));
   }
+  pool_.ReleaseBody(outcome_.body.size());
   outcome_.result = result;
   outcome_.elapsed = SteadyClock::now() - started_;
   // The callback may destroy this object.
   auto on_end = std::move(callbacks_.on_end);
-  on_end(std::move(outcome_));
+  on_end(std::exchange(outcome_, ExchangeOutcome{}));
 }
 
 }  // namespace mangoyoke
--- a/src/gateway/net/timed_exchange.h
+++ b/src/gateway/net/timed_exchange.h
@@ -56,6 +56,8 @@
              ExchangeCallbacks callbacks);
   // Restarts the timeout: the exchange now times out `timeout` from now.
   void SetTimeout(Duration timeout);
+  // Ends the exchange as kIncomplete. Calls on_end before it returns.
+  void Abort();
   // Pauses or resumes reading of the response, to apply backpressure.
   void SetPaused(bool paused);
 
--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -90,12 +90,20 @@
 }
 
 void EngineRequest::OnDecodeData(std::string data) {
-  bool first = !framer_.started();
+  int64_t events_before = framer_.event_count();
   std::string events = framer_.Push(data);
+  if (framer_.overlong()) {
+    attempt_->Abort();
+    return;
+  }
   if (events.empty()) {
     return;
   }
-  RecordEvent(first);
+  if (framer_.event_count() == events_before) {
+    input_.responder->Write(std::move(events));  // Only comments.
+    return;
+  }
+  RecordEvent(events_before == 0);
   LoadCharge charge;
   charge.requests = 1;
   charge.kv_tokens = KvTokens();
--- a/src/gateway/traffic/server_attempt.h
+++ b/src/gateway/traffic/server_attempt.h
@@ -54,6 +54,9 @@
              AttemptCallbacks callbacks);
   // Restarts the timeout with `timeout` from now.
   void SetTimeout(Duration timeout) { exchange_.SetTimeout(timeout); }
+  // Ends the attempt as kIncomplete: what the server sends is no response.
+  // Calls on_end before it returns.
+  void Abort() { exchange_.Abort(); }
   // Replaces the load charge of the attempt.
   void SetCharge(const LoadCharge& charge);
   // Stops or resumes reading the response (backpressure).
--- a/tests/unit/gateway_core_test.cc
+++ b/tests/unit/gateway_core_test.cc
@@ -511,6 +511,34 @@
   EXPECT_LT(taken_for_retries, 500);
 }
 
+TEST(EventStreamFramerTest, CommentsPassButAreNoProgress) {
+  EventStreamFramer framer;
+  EXPECT_EQ(framer.Push(": wait\n\n"), ": wait\n\n");
+  EXPECT_EQ(framer.Push("id: 3\ndatabase: x\n\n"), "id: 3\ndatabase: x\n\n");
+  EXPECT_FALSE(framer.started());
+  framer.Push("id: 4\ndata: x\n\n: wait\n\ndata\n\n");
+  EXPECT_EQ(framer.event_count(), 2);
+}
+
+TEST(EventStreamFramerTest, EventWithoutEndIsOverlong) {
+  EventStreamFramer framer;
+  std::string block(64 << 10, 'x');
+  size_t pushed = 0;
+  while (!framer.overlong()) {
+    ASSERT_EQ(framer.Push(block), "");
+    pushed += block.size();
+    ASSERT_LE(pushed, 2 * EventStreamFramer::kMaxEventBytes);
+  }
+}
+
+TEST(EventStreamFramerTest, EndAcrossTwoReadsIsFound) {
+  EventStreamFramer framer;
+  for (std::string_view part : {"data: x\r", "\n", "\r"}) {
+    EXPECT_EQ(framer.Push(part), "");
+  }
+  EXPECT_EQ(framer.Push("\n"), "data: x\r\n\r\n");
+}
+
 TEST(EventStreamFramerTest, OnlyWholeEventsPass) {
   EventStreamFramer framer;
   EXPECT_EQ(framer.Push("id: 1\ndata: a\n"), "");
--- a/tests/unit/gateway_http_test.cc
+++ b/tests/unit/gateway_http_test.cc
@@ -81,6 +81,37 @@
   std::thread thread_;
 };
 
+// Writes the parts of `text` between '|' one after the other, so that the other
+// side reads them separately.
+void WriteInParts(Tcp::socket& socket,
+                  std::string_view text,
+                  boost::system::error_code& error) {
+  constexpr Millis kPause{30};
+  while (!error) {
+    size_t end = std::min(text.find('|'), text.size());
+    boost::asio::write(socket, boost::asio::buffer(text.data(), end), error);
+    if (end == text.size()) {
+      return;
+    }
+    text.remove_prefix(end + 1);
+    std::this_thread::sleep_for(kPause);
+  }
+}
+
+// Chunked bodies, split where the parser can be asked twice for the same bytes.
+constexpr const char* kSplitChunkedBodies[] = {
+    "0\r\n|\r\n",
+    "0\r\n|\r|\n",
+    "0\r|\n|\r|\n",
+    "0|\r|\n|\r|\n",
+    "00\r\n|\r|\n",
+    "0\r\n|A: b\r\n\r\n",
+    "0\r\n\r|\n",
+    "1\r\nx\r\n|0\r\n|\r|\n",
+    "1\r\nx|\r\n0|\r\n|\r|\n",
+    "3\r\n0\r\n|\r\n0\r\n|\r\n",
+};
+
 size_t CountOccurrences(const std::string& text, const std::string& part) {
   size_t count = 0;
   for (size_t at = text.find(part); at != std::string::npos;
@@ -114,6 +145,31 @@
   EXPECT_TRUE(received.ends_with("/p?z=1&a=%20x&b=2&a=3&flag")) << received;
 }
 
+TEST_F(ListenerTest, ChunkedBodiesMayBeSplitAnywhere) {
+  for (const char* body : kSplitChunkedBodies) {
+    boost::asio::io_context io;
+    Tcp::socket socket(io);
+    socket.connect(
+        Tcp::endpoint(boost::asio::ip::address_v4::loopback(), kPort));
+    boost::system::error_code error;
+    WriteInParts(socket,
+                 "POST /p HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n" +
+                     std::string(body),
+                 error);
+    std::string received;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 200")) << body << received;
+  }
+}
+
+TEST_F(ListenerTest, ChunkExtensionWithoutEndIsRejected) {
+  std::string request =
+      "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;x=" +
+      std::string(1 << 20, 'y');
+  EXPECT_TRUE(SendAndReceive(request).starts_with("HTTP/1.1 400"));
+}
+
 struct BadInput {
   const char* name;
   const char* bytes;
@@ -173,8 +229,8 @@
                          [](const auto& info) { return info.param.name; });
 
 // A server that accepts one connection and responds to each request on it with
-// the next of `scripts`. A script that ends with "!" (not sent) closes the
-// connection. Without a script left, it does not respond.
+// the next of `scripts`, in the parts between '|'. A script that ends with "!"
+// (not sent) closes the connection. Without a script left, it does not respond.
 class ScriptedServer {
  public:
   explicit ScriptedServer(std::deque<std::string> scripts)
@@ -209,7 +265,7 @@
       if (close) {
         script.pop_back();
       }
-      boost::asio::write(socket, boost::asio::buffer(script), error);
+      WriteInParts(socket, script, error);
       if (close) {
         return;
       }
@@ -265,6 +321,30 @@
   EXPECT_EQ(outcomes[1].body, "second");
 }
 
+TEST(HttpConnectionTest, ChunkedResponsesMayBeSplitAnywhere) {
+  for (const char* body : kSplitChunkedBodies) {
+    ScriptedServer server(
+        {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
+         std::string(body) + "!"});
+    auto outcomes = Send(server.address(), {"a"});
+    EXPECT_EQ(outcomes[0].result, ExchangeResult::kComplete) << body;
+  }
+}
+
+// A response that breaks off anywhere must not look complete.
+TEST(HttpConnectionTest, ChunkedResponseCutAnywhereIsIncomplete) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string body = "5\r\nhello\r\n1;x=y\r\n.\r\n0\r\n\r\n";
+  for (size_t cut = 0; cut < body.size(); ++cut) {
+    ScriptedServer server({head + body.substr(0, cut) + "!"});
+    auto outcomes = Send(server.address(), {"a"});
+    EXPECT_EQ(outcomes[0].result, ExchangeResult::kIncomplete) << cut;
+  }
+  ScriptedServer server({head + body + "!"});
+  EXPECT_EQ(Send(server.address(), {"a"})[0].body, "hello.");
+}
+
 TEST(HttpConnectionTest, CutAnswerIsBroken) {
   ScriptedServer server(
       {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\n"
@@ -292,5 +372,128 @@
   EXPECT_EQ(outcomes[0].result, ExchangeResult::kNotSent);
 }
 
+// What a faulty server sends: a beginning, then the same bytes without end.
+struct EndlessBytes {
+  const char* name;
+  std::string begin;
+  std::string repeated;
+};
+
+// A server that sends EndlessBytes in response to a request until the other
+// side closes the connection, or for at most kMaxBytes.
+class EndlessServer {
+ public:
+  static constexpr size_t kMaxBytes = 64 << 20;
+
+  explicit EndlessServer(EndlessBytes bytes)
+      : bytes_(std::move(bytes)),
+        acceptor_(io_,
+                  Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+        thread_([this] { Serve(); }) {}
+  ~EndlessServer() { Join(); }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  // Waits until the connection is closed. Returns the number of bytes sent.
+  size_t Join() {
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+    return sent_;
+  }
+
+ private:
+  void Serve() {
+    Tcp::socket socket(io_);
+    acceptor_.accept(socket);
+    char request[4096];
+    boost::system::error_code error;
+    socket.read_some(boost::asio::buffer(request), error);
+    sent_ +=
+        boost::asio::write(socket, boost::asio::buffer(bytes_.begin), error);
+    std::string block;
+    while (block.size() < sizeof(request)) {
+      block += bytes_.repeated;
+    }
+    while (!error && sent_ < kMaxBytes) {
+      sent_ += boost::asio::write(socket, boost::asio::buffer(block), error);
+    }
+  }
+
+  EndlessBytes bytes_;
+  size_t sent_ = 0;
+  boost::asio::io_context io_;
+  Tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
+class EndlessBytesTest : public ::testing::TestWithParam<EndlessBytes> {};
+
+// The exchange ends long before its timeout, after few bytes, and the request
+// counts as possibly executed.
+TEST_P(EndlessBytesTest, EndTheExchange) {
+  EndlessServer server(GetParam());
+  boost::asio::io_context io;
+  ConnectionPool pool(io, [](const http::response_header<>& head) {
+    return std::string(head["Id"]);
+  });
+  TimedExchange exchange(io, pool);
+  std::optional<ExchangeOutcome> outcome;
+  ExchangeCallbacks callbacks;
+  callbacks.on_end = [&](ExchangeOutcome result) {
+    outcome = std::move(result);
+  };
+  exchange.Start(server.address(), HttpRequest(http::verb::get, "/", 11), "a",
+                 false, Seconds(20), std::move(callbacks));
+  TimePoint start = SteadyClock::now();
+  while (!outcome) {
+    io.run_one();
+  }
+  EXPECT_EQ(outcome->result, ExchangeResult::kIncomplete);
+  EXPECT_FALSE(outcome->timed_out);
+  EXPECT_LT(SteadyClock::now() - start, Seconds(5));
+  EXPECT_LT(server.Join(), EndlessServer::kMaxBytes / 2);
+}
+
+const EndlessBytes kEndlessBytes[] = {
+    {"Garbage", "", "#"},
+    {"StatusLine", "HTTP/1.1 200 ", "O"},
+    {"HeaderName", "HTTP/1.1 200 OK\r\n", "x"},
+    {"HeaderValue", "HTTP/1.1 200 OK\r\nId: ", "a"},
+    {"HeaderLines", "HTTP/1.1 200 OK\r\n", "X-More: 1\r\n"},
+    {"InterimResponses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+    {"OtherResponses", "",
+     "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1\r\n\r\nx"},
+    {"BodyOfAnotherResponse", "HTTP/1.1 200 OK\r\nId: b\r\n\r\n", "x"},
+    {"ChunksOfAnotherResponse",
+     "HTTP/1.1 200 OK\r\nId: b\r\nTransfer-Encoding: chunked\r\n\r\n",
+     "1\r\nx\r\n"},
+    {"ChunkSize",
+     "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+    {"ChunkExtension",
+     "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n1;x=", "y"},
+    {"Trailers",
+     "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+     "X-More: 1\r\n"},
+    {"Body", "HTTP/1.1 200 OK\r\nId: a\r\n\r\n", "x"},
+};
+
+INSTANTIATE_TEST_SUITE_P(Shapes,
+                         EndlessBytesTest,
+                         ::testing::ValuesIn(kEndlessBytes),
+                         [](const auto& info) { return info.param.name; });
+
+TEST(ConnectionPoolTest, CollectedBodiesHaveACommonLimit) {
+  boost::asio::io_context io;
+  ConnectionPool pool(io, nullptr);
+  constexpr size_t kBody = 10 << 20;
+  EXPECT_TRUE(pool.ReserveBody(kBody));
+  EXPECT_TRUE(pool.ReserveBody(kBody));
+  EXPECT_TRUE(pool.ReserveBody(kBody));
+  EXPECT_FALSE(pool.ReserveBody(kBody));
+  pool.ReleaseBody(kBody);
+  EXPECT_TRUE(pool.ReserveBody(kBody));
+}
+
 }  // namespace
 }  // namespace mangoyoke
