Change load charges of streams in steps; test stalled streams

Cause: each event of a stream changed the load charge of its server, so that an instance with one stream sent a report to its whole cell every 20 ms. The charge is ahead of the memory by 200 tokens anyway; now it follows in steps of 64.

Test: streams that stall with comments, single bytes or an event without end are resumed elsewhere (fails for comments if they count as progress).

--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr int kMaxDecodeRejections = 4;
+// The load charge of a stream follows its memory in steps of this many tokens,
+// since each change is reported to the peers. The charge is ahead of the memory
+// by more than a step.
+constexpr int64_t kKvChargeStep = 64;
 constexpr int kMaxResumes = 3;
 // Event timeout of a stream that may still be resumed at another server: this
 // many times the target gap, or before the first event this part of the target
@@ -49,6 +53,7 @@
   charge.requests = 1;
   charge.kv_tokens = KvTokens();
   charge.prompt_tokens = handle_ ? 0 : input_.caller_request.prompt_tokens;
+  charged_kv_tokens_ = charge.kv_tokens;
   ReleaseLoad();
   BackendRequestOptions options;
   options.kv_source = handle_;
@@ -104,12 +109,19 @@
     return;
   }
   RecordEvent(events_before == 0);
+  UpdateDecodeCharge();
+  attempt_->SetTimeout(EventTimeout());
+  input_.responder->Write(std::move(events));
+}
+
+void EngineRequest::UpdateDecodeCharge() {
   LoadCharge charge;
   charge.requests = 1;
   charge.kv_tokens = KvTokens();
-  attempt_->SetCharge(charge);
-  attempt_->SetTimeout(EventTimeout());
-  input_.responder->Write(std::move(events));
+  if (charge.kv_tokens - charged_kv_tokens_ >= kKvChargeStep) {
+    charged_kv_tokens_ = charge.kv_tokens;
+    attempt_->SetCharge(charge);
+  }
 }
 
 void EngineRequest::RecordEvent(bool first) {
--- a/src/gateway/traffic/engine_request.h
+++ b/src/gateway/traffic/engine_request.h
@@ -103,6 +103,8 @@
   bool OnDecodeHead(const http::response_header<>& head,
                     const BackendResponse& response);
   void OnDecodeData(std::string data);
+  // Raises the load charge of the stream with its memory.
+  void UpdateDecodeCharge();
   // Updates the latency figures when events arrived; `first`: the first ones.
   void RecordEvent(bool first);
   void OnDecodeEnd(const BackendServer& server, AttemptOutcome outcome);
@@ -132,6 +134,7 @@
   bool waited_ = false;
   std::optional<BackendServer> decode_server_;   // Chosen; not yet used.
   uint64_t load_charge_id_ = 0;                  // At decode_server_; 0: none.
+  int64_t charged_kv_tokens_ = 0;                // Of the decode attempt.
   std::optional<KvReservation> kv_reservation_;  // At decode_server_.
   std::optional<PrefillHandle> handle_;          // Not yet fetched.
   TimePoint handle_deadline_;       // handle_ is not used after it.
--- a/tests/unit/gateway_traffic_test.cc
+++ b/tests/unit/gateway_traffic_test.cc
@@ -275,6 +275,71 @@
   EXPECT_EQ(decodes, 2);
 }
 
+// Sends events 1 and 2, then `repeated` every 20 ms until the connection
+// closes.
+class StalledStream : public std::enable_shared_from_this<StalledStream> {
+ public:
+  StalledStream(boost::asio::io_context& io, std::string repeated)
+      : repeated_(std::move(repeated)), timer_(io) {}
+
+  void Start(std::shared_ptr<HttpResponder> responder) {
+    responder_ = std::move(responder);
+    responder_->SetDisconnectCallback([self = shared_from_this()] {
+      self->timer_.cancel();
+      self->responder_.reset();
+    });
+    responder_->Write("id: 1\ndata: t\n\nid: 2\ndata: t\n\n");
+    WriteNext();
+  }
+
+ private:
+  void WriteNext() {
+    timer_.expires_after(Millis(20));
+    timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          if (!error && self->responder_) {
+            self->responder_->Write(std::string(self->repeated_));
+            self->WriteNext();
+          }
+        });
+  }
+
+  std::string repeated_;
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<HttpResponder> responder_;
+};
+
+// A server that sends comments, single bytes or an event without end makes no
+// progress. The stream is resumed at another one.
+TEST_F(GatewayTrafficTest, StreamThatStallsWithBytesIsResumedElsewhere) {
+  const std::string kRepeated[] = {": wait\n\n", "x",
+                                   std::string(1 << 18, 'x')};
+  std::atomic<int> decodes{0};
+  FakeServer::Action decode = [&](const HttpRequest& request, auto responder) {
+    int number = decodes++;
+    if (number % 2 == 1) {
+      StreamEvents(io_, 3, 4, true)(request, responder);
+      return;
+    }
+    http::response_header<> head;
+    head.result(200);
+    head.set(kRequestIdHeader, request[kRequestIdHeader]);
+    head.set(http::field::content_type, "text/event-stream");
+    responder->BeginStream(head);
+    std::make_shared<StalledStream>(io_, kRepeated[number / 2])
+        ->Start(responder);
+  };
+  AddServer(ServerStage::kPrefill, RespondWithKvHandle("h1"));
+  AddServer(ServerStage::kDecode, decode);
+  AddServer(ServerStage::kDecode, decode);
+  StartGateway(RequestKind::kStreaming, true, 2);
+  for (const std::string& repeated : kRepeated) {
+    std::string response = SendRequest();
+    EXPECT_TRUE(response.ends_with("0\r\n\r\n")) << repeated.size();
+    EXPECT_NE(response.find("id: 4\n"), std::string::npos) << repeated.size();
+  }
+}
+
 // A prefill can take longer than a leaving server still accepts requests, so
 // the decode server must be chosen again if it leaves meanwhile.
 TEST_F(GatewayTrafficTest, DecodeServerThatLeavesDuringThePrefillGetsNothing) {
