--- a/src/gateway/control/serving_state.cc
+++ b/src/gateway/control/serving_state.cc
@@ -265,7 +265,8 @@
       watcher->Stop();
     }
   }
-  follower_.SetRunning(!ReadsCurrently());
+  // An instance that is no reader needs confirmations in order to stop reading.
+  follower_.SetRunning(!role_.is_reader() || !ReadsCurrently());
 }
 
 ServingVersions ServingState::Versions() const {
--- a/src/gateway/core/store_reader_role.h
+++ b/src/gateway/core/store_reader_role.h
@@ -36,7 +36,7 @@
   Duration max_unconfirmed = Millis(2000);
   // An instance that need not read any more goes on for this long, so that
   // short changes of the members do not cause reads of whole tables.
-  Duration linger = Seconds(5);
+  Duration linger = Seconds(2);
 
   bool operator==(const StoreReaderOptions&) const = default;
 };
--- a/tests/unit/serving_state_test.cc
+++ b/tests/unit/serving_state_test.cc
@@ -225,6 +225,23 @@
   }
 }
 
+// At the start of a fleet each instance takes itself for a reader until it
+// knows the others.
+TEST_F(StoreReaderTest, InstanceThatIsNoReaderAnyMoreStopsReading) {
+  Instance& late = *followers_[0];
+  std::vector<MemberRecord> members;
+  for (auto& instance : instances_) {
+    members.push_back(instance->record());
+  }
+  late.state().SetMembers(late.record().id, {late.record()});
+  ASSERT_TRUE(RunUntil(Seconds(2), [&late] { return late.StoreCalls() > 0; }));
+  late.state().SetMembers(late.record().id, members);
+  RunUntil(Seconds(5), [] { return false; });
+  double calls = late.StoreCalls();
+  RunUntil(Seconds(4), [] { return false; });
+  EXPECT_EQ(late.StoreCalls(), calls);
+}
+
 TEST_F(StoreReaderTest, ChangesArriveWhenAReaderIsFrozen) {
   WaitForAll();
   readers_[0]->Freeze();
