Place streams by the memory that they are expected to need

Streams of some 1,100 output tokens were admitted with 200 tokens of growth, so that servers filled with new streams at the start of the crest.

Change: OutputLength, the mean of the last 64 outputs of a service, is the least growth that a stream is placed and counted with. Sums of cells and zones are sent every 40 and 160 ms (100 and 250).

Test: OutputLengthTest.

--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -51,7 +51,7 @@
 void EngineRequest::StartDecode(const BackendServer& server) {
   LoadCharge charge;
   charge.requests = 1;
-  charge.kv_tokens = KvTokens();
+  charge.kv_tokens = ExpectedKvTokens();
   charge.prompt_tokens = handle_ ? 0 : input_.caller_request.prompt_tokens;
   charged_kv_tokens_ = charge.kv_tokens;
   ReleaseLoad();
@@ -117,7 +117,7 @@
 void EngineRequest::UpdateDecodeCharge() {
   LoadCharge charge;
   charge.requests = 1;
-  charge.kv_tokens = KvTokens();
+  charge.kv_tokens = ExpectedKvTokens();
   if (charge.kv_tokens - charged_kv_tokens_ >= kKvChargeStep) {
     charged_kv_tokens_ = charge.kv_tokens;
     attempt_->SetCharge(charge);
@@ -164,6 +164,7 @@
   if (outcome.response.status == 200 && outcome.response.event_stream) {
     input_.responder->Write(std::string(framer_.partial_event()));
     context_.metrics.Observe("mangoyoke_longest_gap_ms", longest_gap_ms_);
+    context_.output_length.Record(input_.service, GeneratedTokens());
     EndStream();
     return;
   }
--- a/src/gateway/traffic/engine_request.cc
+++ b/src/gateway/traffic/engine_request.cc
@@ -46,18 +46,29 @@
   return service != nullptr && service->engine ? &*service->engine : nullptr;
 }
 
-int64_t EngineRequest::KvTokens() const {
+int64_t EngineRequest::GeneratedTokens() const {
   const EngineSpec* engine = Engine();
   int64_t tokens_per_event = engine != nullptr ? engine->tokens_per_event : 1;
-  return input_.caller_request.prompt_tokens +
-         framer_.event_count() * tokens_per_event + kGrowthTokens;
+  return framer_.event_count() * tokens_per_event;
+}
+
+int64_t EngineRequest::KvTokens() const {
+  return input_.caller_request.prompt_tokens + GeneratedTokens() +
+         kGrowthTokens;
+}
+
+int64_t EngineRequest::ExpectedKvTokens() const {
+  int64_t expected_output =
+      context_.output_length.ExpectedTokens(input_.service);
+  return std::max(KvTokens(),
+                  input_.caller_request.prompt_tokens + expected_output);
 }
 
 void EngineRequest::ChargeLoad(const BackendId& server) {
   ReleaseLoad();
   LoadCharge charge;
   charge.requests = 1;
-  charge.kv_tokens = KvTokens();
+  charge.kv_tokens = ExpectedKvTokens();
   charge.prompt_tokens =
       prefill_at_decode_ ? input_.caller_request.prompt_tokens : 0;
   load_charge_id_ = context_.load.Charge(server, charge);
@@ -147,7 +158,7 @@
 PlacementChoice EngineRequest::ChooseDecodeServer() {
   PlacementQuery query;
   query.stage = ServerStage::kDecode;
-  query.kv_tokens = KvTokens();
+  query.kv_tokens = ExpectedKvTokens();
   query.preferred_zone = context_.zone;  // The prompt and the events pass here.
   if (Rank() == QueueRank::kLate) {
     query.max_memory_share = kLateMemoryShare;
--- a/src/gateway/traffic/engine_request.h
+++ b/src/gateway/traffic/engine_request.h
@@ -115,9 +115,14 @@
   // Ends the request with an error. `code` is replaced if a server may have
   // executed the request, since `code` may say that none did.
   void FailRequest(ErrorCode code, std::string_view why);
+  // Output tokens generated so far.
+  int64_t GeneratedTokens() const;
   // KV memory of the request at a decode server, in tokens: prompt, generated
   // tokens, and those that it will soon generate.
   int64_t KvTokens() const;
+  // KV memory that the request is expected to need at its end, in tokens. By
+  // this it is placed and counted.
+  int64_t ExpectedKvTokens() const;
   // Adds a load charge for this request at `server`; replaces the last one.
   void ChargeLoad(const BackendId& server);
   void ReleaseLoad();
--- a/src/gateway/traffic/load_reporter.cc
+++ b/src/gateway/traffic/load_reporter.cc
@@ -22,8 +22,8 @@
 // two in a row were lost.
 constexpr Duration kCompleteReportInterval = Millis(300);
 // Pace of the sums sent out of the cell and out of the zone.
-constexpr Duration kCellSumInterval = Millis(100);
-constexpr Duration kZoneSumInterval = Millis(250);
+constexpr Duration kCellSumInterval = Millis(40);
+constexpr Duration kZoneSumInterval = Millis(160);
 // Servers in one report; those with the least work are left out, so that it
 // fits into a datagram.
 constexpr size_t kMaxReportedServers = 400;
--- a/src/gateway/traffic/traffic_context.h
+++ b/src/gateway/traffic/traffic_context.h
@@ -11,6 +11,7 @@
 #include "base/metrics.h"
 #include "gateway/core/caller_retry_detector.h"
 #include "gateway/core/codecs.h"
+#include "gateway/core/output_length.h"
 #include "gateway/core/placement.h"
 #include "gateway/core/prefill_speed.h"
 #include "gateway/core/server_health.h"
@@ -52,6 +53,7 @@
   SharedRetryBudget retry_budget;
   CallerRetryDetector caller_retry_detector;
   PrefillSpeed prefill_speed;
+  OutputLength output_length;
   std::unique_ptr<ServerPlacement> placement;
   // The active configuration; null until the first one was loaded.
   std::shared_ptr<const ServingConfig> config;
--- a/tests/unit/gateway_core_test.cc
+++ b/tests/unit/gateway_core_test.cc
@@ -8,6 +8,7 @@
 #include "gateway/core/backend_registry.h"
 #include "gateway/core/caller_retry_detector.h"
 #include "gateway/core/event_stream_framer.h"
+#include "gateway/core/output_length.h"
 #include "gateway/core/placement.h"
 #include "gateway/core/prefill_speed.h"
 #include "gateway/core/serving_config.h"
@@ -490,6 +491,20 @@
   EXPECT_EQ(speed.MillisPerToken("other"), assumed);
 }
 
+TEST(OutputLengthTest, MeanOfTheLastOutputs) {
+  OutputLength length;
+  EXPECT_EQ(length.ExpectedTokens("s"), 0);
+  for (int i = 0; i < 100; ++i) {
+    length.Record("s", 10);
+  }
+  EXPECT_EQ(length.ExpectedTokens("s"), 10);
+  EXPECT_EQ(length.ExpectedTokens("other"), 0);
+  for (int i = 0; i < 64; ++i) {
+    length.Record("s", i % 2 == 0 ? 0 : 1000);
+  }
+  EXPECT_EQ(length.ExpectedTokens("s"), 500);
+}
+
 TEST(CallerRetryDetectorTest, ShorterWaitShowsARepeat) {
   CallerRetryDetector detector;
   EXPECT_EQ(detector.RecordTimeout("r", Millis(14'000)), Duration::zero());
