Log and count each step of a configuration's way to an instance

A long poll that failed left no line, a revision that another instance announced and that could not be fetched left none, and neither decoding nor the hand-over to the traffic thread was timed.

Change: table_call_failed (table, duration, timed out, next try), config_newer_heard (revision, instance), heard_ms and decode_ms in config_in_force, config_used with the wait of the traffic thread; two histograms. No decision changes.

--- a/src/gateway/control/gateway_control.cc
+++ b/src/gateway/control/gateway_control.cc
@@ -58,8 +58,8 @@
     serving_state_.SetMembers(membership_.self().id, membership_.All());
   });
   membership_service_.on_newer_plan.Add(
-      [this](const std::string& address, Revision) {
-        serving_state_.PullFrom(address);
+      [this](const std::string& address, Revision revision) {
+        serving_state_.PullFrom(address, revision);
       });
 }
 
--- a/src/gateway/control/serving_state.cc
+++ b/src/gateway/control/serving_state.cc
@@ -125,8 +125,21 @@
   }
 }
 
+void ServingState::PullFrom(const std::string& address, Revision revision) {
+  if (revision > heard_revision_) {
+    heard_revision_ = revision;
+    heard_at_ = SteadyClock::now();
+    LogEvent("config_newer_heard")
+        .Field("revision", static_cast<int64_t>(revision))
+        .Field("active", static_cast<int64_t>(Versions().config))
+        .Field("from", address);
+  }
+  follower_.PollOnce(address);
+}
+
 void ServingState::ApplyConfigRow(const StoreRow& row,
                                   std::string_view source) {
+  TimePoint started = SteadyClock::now();
   auto decoded = codec_.DecodeConfig(row);
   if (const auto* error = std::get_if<Error>(&decoded)) {
     LogEvent("config_unreadable", LogLevel::kWarning)
@@ -142,11 +155,17 @@
   }
   config_ = std::make_shared<ServingConfig>(config);
   config_row_ = row;
+  TimePoint now = SteadyClock::now();
+  bool heard_before = heard_revision_ > active_revision;
+  Duration heard_for = heard_before ? now - heard_at_ : Duration::zero();
+  metrics_.Observe("mangoyoke_config_heard_ms", ToMillis(heard_for));
   LogEvent("config_in_force")
       .Field("revision", static_cast<int64_t>(config.revision()))
       .Field("before", static_cast<int64_t>(active_revision))
       .Field("routes", static_cast<int64_t>(config.route_count()))
-      .Field("source", source);
+      .Field("source", source)
+      .Field("heard_ms", ToMillis(heard_for))
+      .Field("decode_ms", ToMillis(now - started));
   metrics_.SetGauge("mangoyoke_config_revision",
                     static_cast<double>(config.revision()));
   on_config_changed.Notify();
--- a/src/gateway/control/serving_state.h
+++ b/src/gateway/control/serving_state.h
@@ -52,9 +52,9 @@
   void SetMembers(const InstanceId& self,
                   const std::vector<MemberRecord>& members);
 
-  // Requests newer configuration and servers from the instance at `address`. If
-  // that fails, nothing changes.
-  void PullFrom(const std::string& address) { follower_.PollOnce(address); }
+  // The instance at `address` has the newer configuration `revision`: requests
+  // it. If that fails, nothing changes.
+  void PullFrom(const std::string& address, Revision revision);
   // Responds to another instance's poll: the configuration and the server rows,
   // each only if newer than what the instance has. Throws
   // nlohmann::json::exception if `message` is malformed.
@@ -113,6 +113,11 @@
   boost::asio::io_context& io_;
   BackendRegistry registry_;
   std::shared_ptr<const ServingConfig> config_;
+  // The highest revision that any instance claimed to have, and since when it
+  // is known here. Tells in the log whether a change was late to be heard of or
+  // late to arrive.
+  Revision heard_revision_ = 0;
+  TimePoint heard_at_{};
   // Rows as read from the store, sent to other instances.
   StoreRow config_row_;
   std::map<BackendId, std::string> server_rows_;
--- a/src/gateway/control/table_watcher.cc
+++ b/src/gateway/control/table_watcher.cc
@@ -51,6 +51,23 @@
   store_.Cancel(std::exchange(watch_call_, 0));
 }
 
+void TableWatcher::RetryAfterFailure(std::string_view call,
+                                     const ExchangeOutcome& outcome,
+                                     std::function<void()> retry) {
+  Duration delay = NextBackoff();
+  LogEvent line("table_call_failed", LogLevel::kWarning);
+  line.Field("table", options_.table)
+      .Field("call", call)
+      .Field("version", static_cast<int64_t>(version_))
+      .Field("took_ms", ToMillis(outcome.elapsed))
+      .Field("timed_out", static_cast<int64_t>(outcome.timed_out))
+      .Field("retry_ms", ToMillis(delay));
+  if (outcome.head) {
+    line.Field("status", static_cast<int64_t>(outcome.head->result_int()));
+  }
+  RunAfter(delay, std::move(retry));
+}
+
 Duration TableWatcher::NextBackoff() {
   Duration delay =
       std::min(kInitialBackoff *
@@ -90,7 +107,7 @@
   }
   auto* page = std::get_if<StoreRows>(&decoded);
   if (page == nullptr) {
-    RunAfter(NextBackoff(), [this] { ReadPage(""); });
+    RetryAfterFailure("read", outcome, [this] { ReadPage(""); });
     return;
   }
   consecutive_failures_ = 0;
@@ -148,7 +165,7 @@
   }
   const auto* changes = std::get_if<StoreRows>(&decoded);
   if (changes == nullptr) {
-    RunAfter(NextBackoff(), [this] { Watch(); });
+    RetryAfterFailure("watch", outcome, [this] { Watch(); });
     return;
   }
   consecutive_failures_ = 0;
--- a/src/gateway/control/table_watcher.h
+++ b/src/gateway/control/table_watcher.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gateway/control/store_client.h"
@@ -66,6 +67,11 @@
   bool running() const { return generation_ % 2 == 1; }
   // Calls `action` after `delay`, unless the watcher is stopped before.
   void RunAfter(Duration delay, std::function<void()> action);
+  // Logs that a call of the kind `call` failed, and calls `retry` after the
+  // backoff.
+  void RetryAfterFailure(std::string_view call,
+                         const ExchangeOutcome& outcome,
+                         std::function<void()> retry);
   // Returns the delay before the next retry and counts the failure.
   Duration NextBackoff();
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -51,8 +51,9 @@
         }) {
     control_.serving_state().on_config_changed.Add([this] {
       boost::asio::post(traffic_io_,
-                        [this, config = control_.serving_state().config()] {
-                          traffic_.SetConfig(config);
+                        [this, config = control_.serving_state().config(),
+                         posted = SteadyClock::now()] {
+                          UseConfig(config, SteadyClock::now() - posted);
                         });
     });
     control_.serving_state().on_servers_changed.Add([this] {
@@ -115,6 +116,15 @@
         });
   }
 
+  // On the traffic thread. `waited`: since the control thread handed it over.
+  void UseConfig(std::shared_ptr<const ServingConfig> config, Duration waited) {
+    LogEvent("config_used")
+        .Field("revision", static_cast<int64_t>(config->revision()))
+        .Field("waited_ms", ToMillis(waited));
+    metrics_.Observe("mangoyoke_config_handover_ms", ToMillis(waited));
+    traffic_.SetConfig(std::move(config));
+  }
+
   // Reloads when the settings file was modified, since a change may come
   // without SIGHUP.
   void ReloadIfChanged() {
