Tests that show late configurations; three of them fail

What callers see: requests handled by an old configuration although a newer one was confirmed for longer than the users allow. Tests of how soon a change is active in one availability zone while readers, connections and the store fail, without membership probes, against the smallest bounds: 2 s for instances that work, 3 s after trouble with connections or the store.

Failing on this code, which has the logic of: both readers cut off from a store that falls silent (followers not there after 2 s), silent connections to the store (3 s), a store that forgot its calls (3 s).

--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -30,6 +30,8 @@
   void DropHistory() { history_start_ = version_; }
   // The watches pending now never get a response.
   void AbandonPendingWatches();
+  // A store with the same rows and no watches.
+  std::unique_ptr<FakeStore> Copy() const;
 
  private:
   friend class FakeStoreEndpoint;
@@ -72,6 +74,10 @@
   void SetUnavailable(bool unavailable) { unavailable_ = unavailable; }
   // While set, calls are read and get no response.
   void SetUnresponsive(bool unresponsive) { unresponsive_ = unresponsive; }
+  // While set, full reads return the rows and the version as of now.
+  void SetReadsBehind(bool behind);
+  // Number of watches of `table` that arrived.
+  uint64_t watches(const std::string& table) { return watches_[table]; }
 
   void OnRequest(HttpRequest request,
                  std::shared_ptr<HttpResponder> responder) override;
@@ -83,6 +89,9 @@
   HttpListener listener_;
   bool unavailable_ = false;
   bool unresponsive_ = false;
+  // What full reads return; null: the current rows.
+  std::unique_ptr<FakeStore> read_from_;
+  std::map<std::string, uint64_t> watches_;
   std::vector<std::shared_ptr<HttpResponder>> unanswered_;
 };
 
--- /dev/null
+++ b/tests/unit/config_in_time_test.cc
@@ -0,0 +1,127 @@
+// Tests of how soon a new configuration is active everywhere while readers of
+// the store, connections and the store itself fail. Nothing else carries it:
+// the instances are one availability zone without membership probes.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <vector>
+
+#include "tests/support/serving_instance.h"
+
+namespace mangoyoke {
+namespace {
+
+constexpr int kInstances = 5;
+// The shortest time that users give a change until it is active on instances
+// that work, whatever happens to others.
+constexpr Seconds kConfigBound{2};
+// The shortest time that they give an instance to catch up after trouble with
+// its connections or the store.
+constexpr Seconds kRecoveryBound{3};
+constexpr Revision kOld = 1;
+constexpr Revision kNew = 2;
+
+class ConfigInTimeTest : public ::testing::Test {
+ protected:
+  // Starts `instances` instances and waits until all long polls are held.
+  ServingZone& StartZone(int instances = kInstances) {
+    PutConfig(store_, kOld);
+    PutServer(store_, "server");
+    zone_ = std::make_unique<ServingZone>(io_, store_, instances);
+    EXPECT_TRUE(Within(Seconds(3), zone_->all(), kOld));
+    RunUntil(io_, Millis(300), [] { return false; });
+    return *zone_;
+  }
+
+  // Whether `instances` have revision `revision` within `bound`.
+  bool Within(Duration bound,
+              const std::vector<ServingInstance*>& instances,
+              Revision revision) {
+    return RunUntil(io_, bound, [&] {
+      return std::all_of(instances.begin(), instances.end(),
+                         [revision](const ServingInstance* instance) {
+                           return instance->revision() >= revision;
+                         });
+    });
+  }
+
+  boost::asio::io_context io_{1};
+  FakeStore store_{io_};
+  std::unique_ptr<ServingZone> zone_;
+};
+
+// The store is silent for the readers only: their connections stay open.
+TEST_F(ConfigInTimeTest, ConfigIsLateWhereBothReadersAreCutOffFromTheStore) {
+  ServingZone& zone = StartZone();
+  store_.AbandonPendingWatches();
+  for (ServingInstance* reader : zone.readers()) {
+    reader->endpoint().SetUnresponsive(true);
+  }
+  PutConfig(store_, kNew);
+  EXPECT_TRUE(Within(kConfigBound, zone.followers(), kNew));
+}
+
+TEST_F(ConfigInTimeTest, ConfigIsLateWhereBothReadersAreKilled) {
+  ServingZone& zone = StartZone();
+  for (ServingInstance* reader : zone.readers()) {
+    reader->StopServingPeers();
+  }
+  PutConfig(store_, kNew);
+  EXPECT_TRUE(Within(kConfigBound, zone.followers(), kNew));
+}
+
+TEST_F(ConfigInTimeTest, ConfigIsLateWhereBothReadersAreFrozen) {
+  ServingZone& zone = StartZone();
+  for (ServingInstance* reader : zone.readers()) {
+    reader->Freeze();
+  }
+  PutConfig(store_, kNew);
+  EXPECT_TRUE(Within(kConfigBound, zone.followers(), kNew));
+}
+
+TEST_F(ConfigInTimeTest, ConfigIsLateAfterConnectionsToTheStoreFellSilent) {
+  ServingZone& zone = StartZone();
+  store_.AbandonPendingWatches();
+  PutConfig(store_, kNew);
+  EXPECT_TRUE(Within(kRecoveryBound, zone.all(), kNew));
+}
+
+// The store comes back and never responds to the calls that it got before,
+// the last of them just before its return. A single instance has nobody else to
+// learn of the change from.
+TEST_F(ConfigInTimeTest, ConfigIsLateAfterTheStoreForgotItsCalls) {
+  ServingZone& zone = StartZone(1);
+  FakeStoreEndpoint& endpoint = zone.all()[0]->endpoint();
+  store_.AbandonPendingWatches();
+  endpoint.SetUnresponsive(true);
+  RunUntil(io_, Seconds(6), [] { return false; });
+  uint64_t watches = endpoint.watches("op");
+  ASSERT_TRUE(RunUntil(io_, Seconds(10), [&endpoint, watches] {
+    return endpoint.watches("op") > watches;
+  }));
+  endpoint.SetUnresponsive(false);
+  PutConfig(store_, kNew);
+  EXPECT_TRUE(Within(kRecoveryBound, zone.all(), kNew));
+}
+
+// After the store dropped its history, a full read may return old rows.
+TEST_F(ConfigInTimeTest, ConfigIsMissedAfterAnOldFullRead) {
+  ServingZone& zone = StartZone();
+  for (ServingInstance* instance : zone.all()) {
+    instance->endpoint().SetReadsBehind(true);
+  }
+  PutConfig(store_, kNew);
+  store_.DropHistory();
+  store_.AbandonPendingWatches();
+  RunUntil(io_, Seconds(1), [] { return false; });
+  for (ServingInstance* instance : zone.all()) {
+    instance->endpoint().SetReadsBehind(false);
+  }
+  EXPECT_TRUE(Within(kRecoveryBound, zone.all(), kNew));
+}
+
+}  // namespace
+}  // namespace mangoyoke
