Derive the timeouts of a change's way from the bound that users give it

What callers saw: requests handled by an old configuration for seconds after a newer one was confirmed.

Cause: the timeouts on the way of a change were constants that nobody had added up. A long poll whose connection fell silent, or that the store forgot, was given up after 2.8 s + 0.7 s (configuration) or 8 s + 0.7 s (servers) and sent again up to 0.6 s later; followers without readers turned to the store after 2 s. An instance has 3 s to catch up on the smallest deployments and 4 s on the grown ones, a change 2 s and 3 s.

Why this works: `change_bound_ms` of the settings is the bound, and core/change_timeouts derives every timeout from it.

Still failing: both readers cut off from a store that falls silent.

--- a/src/gateway/control/serving_state.cc
+++ b/src/gateway/control/serving_state.cc
@@ -15,24 +15,22 @@
 namespace mangoyoke {
 namespace {
 
-constexpr Duration kTickInterval = Millis(200);
 // Longest delay between retries of an instance that reads the store only since
 // no reader confirms its view.
 constexpr Duration kFallbackMaxBackoff = Seconds(3);
 // Batches of changes kept for updates; an instance that lacks more gets all
 // rows.
 constexpr size_t kMaxRecentChanges = 64;
-// How long the store may hold a long poll for a new configuration. Short enough
-// to detect an unresponsive store before server rows expire (3.6 s). A reader
-// whose own connection is dead hears of new revisions from its peers.
-constexpr Millis kConfigWatchTimeout{2800};
-// The same for server changes. Longer, to save calls: an unresponsive store is
-// detected by the configuration watch, a dead connection by TCP keep-alive.
-constexpr Millis kServerWatchTimeout{8000};
 // The next watch for server changes starts this long after a change, so that
 // many changes arrive in one response.
 constexpr Duration kServerBatchInterval = Millis(350);
 
+StoreReaderOptions ReaderOptionsFrom(const ChangeTimeouts& timeouts) {
+  StoreReaderOptions options;
+  options.max_unconfirmed = timeouts.max_unconfirmed;
+  return options;
+}
+
 }  // namespace
 
 ServingState::ServingState(boost::asio::io_context& io,
@@ -45,13 +43,15 @@
       store_(store),
       metrics_(metrics),
       io_(io),
+      timeouts_(DeriveChangeTimeouts(settings.change_bound)),
       registry_(settings.server_reregistration_timeout),
       config_watcher_(
           io,
           store,
           codec,
-          TableWatcherOptions{codec.ConfigTable(), kConfigWatchTimeout,
-                              Duration::zero()},
+          TableWatcherOptions{codec.ConfigTable(), timeouts_.config_watch,
+                              timeouts_.response_margin,
+                              timeouts_.max_retry_delay, Duration::zero()},
           [this](const std::vector<StoreRow>& rows, uint64_t) {
             for (const StoreRow& row : rows) {
               ApplyConfigRow(row, "store");
@@ -66,15 +66,16 @@
           io,
           store,
           codec,
-          TableWatcherOptions{codec.ServerTable(), kServerWatchTimeout,
-                              kServerBatchInterval},
+          TableWatcherOptions{codec.ServerTable(), timeouts_.server_watch,
+                              timeouts_.response_margin,
+                              timeouts_.max_retry_delay, kServerBatchInterval},
           [this](const std::vector<StoreRow>& rows, uint64_t version) {
             ReplaceServers(rows, {}, version);
           },
           [this](const std::vector<StoreRow>& rows, uint64_t version) {
             ApplyServerChanges(rows, {}, version);
           }),
-      role_(StoreReaderOptions{}, SteadyClock::now()),
+      role_(ReaderOptionsFrom(timeouts_), SteadyClock::now()),
       feed_([this] { return Versions(); },
             [this](const ServingVersions& known) { return MakeUpdate(known); },
             [this] { return IsCurrent(); }),
@@ -93,8 +94,8 @@
       [this] { registry_.OnStoreSuccess(SteadyClock::now()); });
   store_.on_failure.Add([this] { OnStoreFailure(); });
   store_.on_recovered.Add([this] { server_watcher_.RestartWatch(); });
-  tick_timer_ =
-      std::make_unique<PeriodicTimer>(io_, kTickInterval, [this] { Tick(); });
+  tick_timer_ = std::make_unique<PeriodicTimer>(io_, kServingTickInterval,
+                                                [this] { Tick(); });
   Tick();
 }
 
@@ -276,7 +277,7 @@
     metrics_.SetGauge("mangoyoke_reads_store", reads ? 1 : 0);
   }
   for (TableWatcher* watcher : {&config_watcher_, &server_watcher_}) {
-    watcher->SetMaxBackoff(role_.is_reader() ? TableWatcher::kDefaultMaxBackoff
+    watcher->SetMaxBackoff(role_.is_reader() ? timeouts_.max_retry_delay
                                              : kFallbackMaxBackoff);
     if (reads) {
       watcher->Start();
@@ -356,7 +357,7 @@
       ApplyServerChanges(rows, lapsed, version);
     }
   }
-  return now - as_of <= StoreReaderOptions{}.max_unconfirmed;
+  return now - as_of <= timeouts_.max_unconfirmed;
 }
 
 }  // namespace mangoyoke
--- a/src/gateway/control/serving_state.h
+++ b/src/gateway/control/serving_state.h
@@ -24,6 +24,7 @@
 #include "gateway/control/store_client.h"
 #include "gateway/control/table_watcher.h"
 #include "gateway/core/backend_registry.h"
+#include "gateway/core/change_timeouts.h"
 #include "gateway/core/codecs.h"
 #include "gateway/core/store_reader_role.h"
 #include "gateway/settings.h"
@@ -111,6 +112,7 @@
   StoreClient& store_;
   Metrics& metrics_;
   boost::asio::io_context& io_;
+  const ChangeTimeouts timeouts_;
   BackendRegistry registry_;
   std::shared_ptr<const ServingConfig> config_;
   // The highest revision that any instance claimed to have, and since when it
--- a/src/gateway/control/table_watcher.cc
+++ b/src/gateway/control/table_watcher.cc
@@ -9,9 +9,6 @@
 namespace mangoyoke {
 namespace {
 
-// A long poll fails if no response came this long after the time for which the
-// store may hold it.
-constexpr Duration kResponseMargin = Millis(700);
 constexpr Duration kReadTimeout = Millis(1500);
 constexpr Duration kInitialBackoff = Millis(80);
 // Exponent of the longest backoff.
@@ -30,7 +27,8 @@
       options_(std::move(options)),
       on_snapshot_(std::move(on_snapshot)),
       on_changes_(std::move(on_changes)),
-      timer_(io) {}
+      timer_(io),
+      max_backoff_(options_.max_backoff) {}
 
 void TableWatcher::Start() {
   if (running()) {
@@ -136,7 +134,7 @@
 void TableWatcher::Watch() {
   watch_call_ = store_.Call(
       codec_.EncodeWatch(options_.table, version_, options_.watch_timeout),
-      options_.watch_timeout + kResponseMargin,
+      options_.watch_timeout + options_.response_margin,
       [this](ExchangeOutcome outcome) {
         watch_call_ = 0;
         OnWatchEnd(std::move(outcome));
--- a/src/gateway/control/table_watcher.h
+++ b/src/gateway/control/table_watcher.h
@@ -20,6 +20,10 @@
   std::string table;  // Name of the table.
   // How long the store may hold a long poll for changes.
   Millis watch_timeout{};
+  // A long poll fails if no response came this long after that time.
+  Millis response_margin{};
+  // Longest delay before a retry; see SetMaxBackoff.
+  Duration max_backoff{};
   // Delay of the next watch after changes came, so that one response carries
   // many changes.
   Duration batch_interval{};
@@ -32,8 +36,6 @@
 // page.
 class TableWatcher {
  public:
-  static constexpr Duration kDefaultMaxBackoff = Millis(600);
-
   // Receives all rows or the changed rows, and the store version up to which
   // they are complete.
   using RowsCallback =
@@ -86,7 +88,7 @@
   uint64_t first_page_version_ = 0;
   uint64_t version_ = 0;  // All changes up to here were passed on.
   int consecutive_failures_ = 0;
-  Duration max_backoff_ = kDefaultMaxBackoff;
+  Duration max_backoff_;
   // Raised by each start and stop, so that actions scheduled before have no
   // effect. Odd while the watcher runs.
   uint64_t generation_ = 0;
--- a/src/gateway/core/store_reader_role.h
+++ b/src/gateway/core/store_reader_role.h
@@ -33,7 +33,7 @@
   // it reads the store, so that a fleet that starts does not read it at once.
   Duration discovery_time = Millis(400);
   // A follower whose view was not confirmed for longer reads the store.
-  Duration max_unconfirmed = Millis(2000);
+  Duration max_unconfirmed = Millis(1300);
   // An instance that need not read any more goes on for this long, so that
   // short changes of the members do not cause reads of whole tables.
   Duration linger = Seconds(2);
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -13,6 +13,8 @@
 
 constexpr int64_t kMaxMillis = 600'000;
 constexpr int64_t kMaxSeconds = 3600;
+// With less, slow responses of the store would pass for failures.
+constexpr int64_t kMinChangeBoundMillis = 1000;
 
 // Parses one document and collects the problems found in it.
 class GatewaySettingsParser {
@@ -93,6 +95,8 @@
         Seconds(reader.Number("leave_limit_s", 8, 1, kMaxSeconds));
     settings_.server_reregistration_timeout =
         Millis(reader.Number("server_return_ms", 2000, 1, kMaxMillis));
+    settings_.change_bound = Millis(reader.Number(
+        "change_bound_ms", 2000, kMinChangeBoundMillis, kMaxMillis));
   }
 
   // Reads a decimal number of at least 0.
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -41,6 +41,9 @@
   // After an outage of the store, servers whose rows are gone stay usable this
   // long, so that they can register again.
   Millis server_reregistration_timeout{2000};
+  // Time after its confirmation by the store within which a change has to be
+  // known to every instance that works.
+  Millis change_bound{2000};
   // [log]
   std::string log_level = "info";
 
