Take a view for current only if the store confirmed it recently

What callers saw: instances that work, handling requests by an old configuration although a newer one was confirmed, while both readers of their availability zone were cut off from the store.

Cause: a reader counted as current while its last call had succeeded, so a long poll that hung, for up to its whole timeout, confirmed the view of every follower with an age of 0. Nobody turned to the store, or asked other instances.

Evidence: ConfigIsLateWhereBothReadersAreCutOffFromTheStore failed before (not active after 2 s; also with the timeouts derived from the bound) and passes now after 1.4 s.

Why this works: the age of a reader's view is the time since its last successful long poll of the configuration; updates carry that age. Readers respond to the polls they hold when the store confirms, so followers' views are as fresh. After a failure or a full read the next long poll returns at once, since without it followers of a store that has just returned would wait for the whole poll: FollowersKeepServersWhoseRowsExpiredInAnOutage failed without that and passed three times of three with it. A full read alone confirms nothing: it may be old.

--- a/src/gateway/control/serving_feed.cc
+++ b/src/gateway/control/serving_feed.cc
@@ -52,6 +52,10 @@
   RespondIf([this](const PendingPoll& poll) { return HasNewer(poll.known); });
 }
 
+void ServingFeed::OnConfirmed() {
+  RespondIf([](const PendingPoll&) { return true; });
+}
+
 void ServingFeed::Tick(TimePoint now) {
   bool current = is_current_();
   RespondIf([now, current](const PendingPoll& poll) {
--- a/src/gateway/control/serving_feed.h
+++ b/src/gateway/control/serving_feed.h
@@ -37,6 +37,9 @@
   // Responds to the polls that something newer is available for. To be called
   // after each change.
   void OnChanged();
+  // Responds to all polls: the store has just confirmed the view of this
+  // instance, and the requesters' views grow old.
+  void OnConfirmed();
   // Responds to the polls whose time is over.
   void Tick(TimePoint now);
 
--- a/src/gateway/control/serving_state.cc
+++ b/src/gateway/control/serving_state.cc
@@ -94,6 +94,7 @@
       [this] { registry_.OnStoreSuccess(SteadyClock::now()); });
   store_.on_failure.Add([this] { OnStoreFailure(); });
   store_.on_recovered.Add([this] { server_watcher_.RestartWatch(); });
+  config_watcher_.on_confirmed.Add([this] { feed_.OnConfirmed(); });
   tick_timer_ = std::make_unique<PeriodicTimer>(io_, kServingTickInterval,
                                                 [this] { Tick(); });
   Tick();
@@ -241,13 +242,28 @@
   }
 }
 
-bool ServingState::ReadsCurrently() const {
+bool ServingState::StoreResponds() const {
   return reads_store_ && store_.reachable() && config_ &&
          registry_.version() > 0;
 }
 
+bool ServingState::ReadsCurrently() const {
+  Duration age = SteadyClock::now() - config_watcher_.confirmed_at();
+  return StoreResponds() && role_.IsCurrentAge(age);
+}
+
+Duration ServingState::ViewAge() const {
+  TimePoint now = SteadyClock::now();
+  Duration confirmed_by_reader = role_.Age(now);
+  if (!StoreResponds()) {
+    return confirmed_by_reader;
+  }
+  return std::min<Duration>(confirmed_by_reader,
+                            now - config_watcher_.confirmed_at());
+}
+
 bool ServingState::IsCurrent() const {
-  return ReadsCurrently() || (config_ && role_.IsConfirmed(SteadyClock::now()));
+  return config_ && role_.IsCurrentAge(ViewAge());
 }
 
 void ServingState::OnStoreFailure() {
@@ -259,7 +275,7 @@
 void ServingState::Tick() {
   TimePoint now = SteadyClock::now();
   UpdateRole(now);
-  if (!ReadsCurrently()) {
+  if (!StoreResponds()) {
     OnStoreFailure();
   }
   if (registry_.RemoveLapsedServers(now)) {
@@ -296,7 +312,7 @@
 
 Json ServingState::MakeUpdate(const ServingVersions& known) const {
   Json update = Json::object();
-  update["a"] = ReadsCurrently() ? 0 : ToMillis(role_.Age(SteadyClock::now()));
+  update["a"] = ToMillis(ViewAge());
   if (config_ && config_->revision() > known.config) {
     update["k"] = config_row_.key;
     update["c"] = config_row_.value.value_or("");
@@ -357,7 +373,7 @@
       ApplyServerChanges(rows, lapsed, version);
     }
   }
-  return now - as_of <= timeouts_.max_unconfirmed;
+  return role_.IsCurrentAge(now - as_of);
 }
 
 }  // namespace mangoyoke
--- a/src/gateway/control/serving_state.h
+++ b/src/gateway/control/serving_state.h
@@ -99,9 +99,13 @@
   // Applies the update of another instance. Returns whether its view is
   // current.
   bool ApplyUpdate(const Json& update);
-  // Whether this instance reads the store and the store responds.
+  // Whether this instance reads the store and the last call succeeded.
+  bool StoreResponds() const;
+  // Whether this instance reads the store and the store confirmed the view
+  // recently. A long poll that hangs confirms nothing.
   bool ReadsCurrently() const;
-  // Whether the view is current: read from the store, or confirmed by a reader.
+  // Time since the store confirmed the view, to this instance or to a reader.
+  Duration ViewAge() const;
   bool IsCurrent() const;
   void OnStoreFailure();
   void Tick();
--- a/src/gateway/control/table_watcher.cc
+++ b/src/gateway/control/table_watcher.cc
@@ -52,6 +52,7 @@
 void TableWatcher::RetryAfterFailure(std::string_view call,
                                      const ExchangeOutcome& outcome,
                                      std::function<void()> retry) {
+  confirmed_ = false;
   Duration delay = NextBackoff();
   LogEvent line("table_call_failed", LogLevel::kWarning);
   line.Field("table", options_.table)
@@ -88,6 +89,7 @@
 }
 
 void TableWatcher::ReadPage(const std::string& from) {
+  confirmed_ = false;
   if (from.empty()) {
     snapshot_rows_.clear();
   }
@@ -132,13 +134,13 @@
 }
 
 void TableWatcher::Watch() {
-  watch_call_ = store_.Call(
-      codec_.EncodeWatch(options_.table, version_, options_.watch_timeout),
-      options_.watch_timeout + options_.response_margin,
-      [this](ExchangeOutcome outcome) {
-        watch_call_ = 0;
-        OnWatchEnd(std::move(outcome));
-      });
+  Millis wait = confirmed_ ? options_.watch_timeout : Millis(0);
+  watch_call_ = store_.Call(codec_.EncodeWatch(options_.table, version_, wait),
+                            wait + options_.response_margin,
+                            [this](ExchangeOutcome outcome) {
+                              watch_call_ = 0;
+                              OnWatchEnd(std::move(outcome));
+                            });
 }
 
 void TableWatcher::RestartWatch() {
@@ -168,12 +170,18 @@
   }
   consecutive_failures_ = 0;
   version_ = std::max(version_, changes->version);
-  if (changes->rows.empty()) {
-    Watch();
+  if (!changes->rows.empty()) {
+    on_changes_(changes->rows, version_);
+  }
+  confirmed_ = true;
+  confirmed_at_ = SteadyClock::now();
+  on_confirmed.Notify();
+  if (!running()) {
     return;
   }
-  on_changes_(changes->rows, version_);
-  if (running()) {
+  if (changes->rows.empty()) {
+    Watch();
+  } else {
     RunAfter(options_.batch_interval, [this] { Watch(); });
   }
 }
--- a/src/gateway/control/table_watcher.h
+++ b/src/gateway/control/table_watcher.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/observers.h"
 #include "gateway/control/store_client.h"
 #include "gateway/core/codecs.h"
 
@@ -50,6 +51,9 @@
                RowsCallback on_snapshot,
                RowsCallback on_changes);
 
+  // Notified after each successful long poll, when its changes were passed on.
+  Observers<> on_confirmed;
+
   // Starts with a full read. No effect while the watcher runs.
   void Start();
   // Ends the call in progress. The watcher can be started again.
@@ -59,6 +63,9 @@
   // Cancels the long poll in progress, if any, and sends a new one. For use
   // after an outage of the store, which may never respond to the old one.
   void RestartWatch();
+  // When the rows were last known to be complete: the end of the last
+  // successful long poll. A full read does not count, since it may be old.
+  TimePoint confirmed_at() const { return confirmed_at_; }
 
  private:
   // Reads the rows from key `from` on; an empty key starts a new full read.
@@ -89,6 +96,10 @@
   uint64_t version_ = 0;  // All changes up to here were passed on.
   int consecutive_failures_ = 0;
   Duration max_backoff_;
+  // Whether a long poll succeeded since the last failure or full read. If not,
+  // the next one returns at once, in order to confirm the rows.
+  bool confirmed_ = false;
+  TimePoint confirmed_at_{};
   // Raised by each start and stop, so that actions scheduled before have no
   // effect. Odd while the watcher runs.
   uint64_t generation_ = 0;
--- a/src/gateway/core/store_reader_role.h
+++ b/src/gateway/core/store_reader_role.h
@@ -57,8 +57,10 @@
   bool UpdateAndCheckReads(TimePoint now);
   bool is_reader() const { return is_reader_; }
   // Whether a reader confirmed the view recently.
-  bool IsConfirmed(TimePoint now) const {
-    return Age(now) <= options_.max_unconfirmed;
+  bool IsConfirmed(TimePoint now) const { return IsCurrentAge(Age(now)); }
+  // Whether a view that the store confirmed that long ago is current.
+  bool IsCurrentAge(Duration age) const {
+    return age <= options_.max_unconfirmed;
   }
   // Time since the last confirmation, or since the start if there was none.
   Duration Age(TimePoint now) const { return now - confirmed_at_; }
