Send the configuration's long poll again when the store is back

Cause: when a call succeeded after a failed one, only the long poll for servers was sent again. The one for the configuration, which the store had received during the outage and never answers, was waited for until its timeout.

Why this works: both long polls are sent again, but only if they were sent before the response that shows that the store is back, so the one that follows that response is not cancelled. The new one returns at once and confirms the view.

--- a/src/gateway/control/serving_state.cc
+++ b/src/gateway/control/serving_state.cc
@@ -93,7 +93,10 @@
   store_.on_success.Add(
       [this] { registry_.OnStoreSuccess(SteadyClock::now()); });
   store_.on_failure.Add([this] { OnStoreFailure(); });
-  store_.on_recovered.Add([this] { server_watcher_.RestartWatch(); });
+  store_.on_recovered.Add([this](TimePoint time) {
+    config_watcher_.RestartWatchSentBefore(time);
+    server_watcher_.RestartWatchSentBefore(time);
+  });
   config_watcher_.on_confirmed.Add([this] { feed_.OnConfirmed(); });
   tick_timer_ = std::make_unique<PeriodicTimer>(io_, kServingTickInterval,
                                                 [this] { Tick(); });
--- a/src/gateway/control/store_client.cc
+++ b/src/gateway/control/store_client.cc
@@ -53,12 +53,13 @@
                             ExchangeOutcome outcome,
                             const Callback& callback) {
   boost::asio::post(io_, [this, id] { calls_.erase(id); });
+  TimePoint now = SteadyClock::now();
   bool succeeded = CallSucceeded(outcome);
   bool changed = SetReachable(succeeded, outcome);
   (succeeded ? on_success : on_failure).Notify();
   callback(std::move(outcome));
   if (succeeded && changed) {
-    on_recovered.Notify();
+    on_recovered.Notify(now);
   }
 }
 
--- a/src/gateway/control/store_client.h
+++ b/src/gateway/control/store_client.h
@@ -46,8 +46,9 @@
   Observers<> on_success;
   // Notified when a call failed, before its callback.
   Observers<> on_failure;
-  // Notified when a call succeeded after a failed one, after its callback.
-  Observers<> on_recovered;
+  // Notified when a call succeeded after a failed one, after its callback, with
+  // the time of the response.
+  Observers<TimePoint> on_recovered;
 
  private:
   void OnCallEnd(uint64_t id,
--- a/src/gateway/control/table_watcher.cc
+++ b/src/gateway/control/table_watcher.cc
@@ -134,6 +134,7 @@
 }
 
 void TableWatcher::Watch() {
+  watch_sent_at_ = SteadyClock::now();
   Millis wait = confirmed_ ? options_.watch_timeout : Millis(0);
   watch_call_ = store_.Call(codec_.EncodeWatch(options_.table, version_, wait),
                             wait + options_.response_margin,
@@ -143,9 +144,10 @@
                             });
 }
 
-void TableWatcher::RestartWatch() {
-  if (watch_call_ != 0) {
+void TableWatcher::RestartWatchSentBefore(TimePoint time) {
+  if (watch_call_ != 0 && watch_sent_at_ < time) {
     store_.Cancel(watch_call_);
+    confirmed_ = false;
     Watch();
   }
 }
--- a/src/gateway/control/table_watcher.h
+++ b/src/gateway/control/table_watcher.h
@@ -60,9 +60,10 @@
   void Stop();
   // Sets the longest delay before a retry.
   void SetMaxBackoff(Duration max_backoff) { max_backoff_ = max_backoff; }
-  // Cancels the long poll in progress, if any, and sends a new one. For use
-  // after an outage of the store, which may never respond to the old one.
-  void RestartWatch();
+  // Cancels the long poll in progress if it was sent before `time`, and sends a
+  // new one. For use after an outage of the store, which may never respond to
+  // the old one.
+  void RestartWatchSentBefore(TimePoint time);
   // When the rows were last known to be complete: the end of the last
   // successful long poll. A full read does not count, since it may be old.
   TimePoint confirmed_at() const { return confirmed_at_; }
@@ -100,6 +101,7 @@
   // the next one returns at once, in order to confirm the rows.
   bool confirmed_ = false;
   TimePoint confirmed_at_{};
+  TimePoint watch_sent_at_{};
   // Raised by each start and stop, so that actions scheduled before have no
   // effect. Odd while the watcher runs.
   uint64_t generation_ = 0;
--- a/tests/unit/config_in_time_test.cc
+++ b/tests/unit/config_in_time_test.cc
@@ -123,5 +123,30 @@
   EXPECT_TRUE(Within(kRecoveryBound, zone.all(), kNew));
 }
 
+// One long poll is answered again, so the other one need not be waited for.
+TEST_F(ConfigInTimeTest, ConfigWaitsForAForgottenCallAlthoughTheStoreResponds) {
+  ServingZone& zone = StartZone(1);
+  ServingInstance& instance = *zone.all()[0];
+  store_.AbandonPendingWatches();
+  instance.endpoint().SetUnresponsive(true);
+  ASSERT_TRUE(RunUntil(io_, Seconds(5),
+                       [&] { return !instance.client().reachable(); }));
+  // A call for the configuration has just been sent, one for servers is due.
+  uint64_t server_calls = instance.endpoint().watches("servers");
+  ASSERT_TRUE(RunUntil(io_, Seconds(10), [&] {
+    return instance.endpoint().watches("servers") > server_calls;
+  }));
+  RunUntil(io_, Millis(300), [] { return false; });
+  uint64_t config_calls = instance.endpoint().watches("op");
+  ASSERT_TRUE(RunUntil(io_, Seconds(10), [&] {
+    return instance.endpoint().watches("op") > config_calls;
+  }));
+  instance.endpoint().SetUnresponsive(false);
+  PutConfig(store_, kNew);
+  ASSERT_TRUE(RunUntil(io_, kRecoveryBound,
+                       [&] { return instance.client().reachable(); }));
+  EXPECT_TRUE(Within(Millis(100), zone.all(), kNew));
+}
+
 }  // namespace
 }  // namespace mangoyoke
