Do not read the store over and over while its reads are old

What callers saw: nothing by itself; the store got 23,000 calls a second from each reader, and the reader's processor was spent on decoding whole tables.

Cause: when the store no longer keeps the changes that a long poll asks for, the table is read at once; if that read is older than what the store keeps, the next long poll fails in the same way, and so on without any pause. Stale reads last for seconds after the store dropped its history.

Why this works: lost history is a failure like others and is retried with the same growing delay, at most 0.6 s for a reader; only a successful long poll, not a full read, ends the series.

--- a/src/gateway/control/table_watcher.cc
+++ b/src/gateway/control/table_watcher.cc
@@ -110,7 +110,6 @@
     RetryAfterFailure("read", outcome, [this] { ReadPage(""); });
     return;
   }
-  consecutive_failures_ = 0;
   if (snapshot_rows_.empty()) {
     first_page_version_ = page->version;
   }
@@ -158,7 +157,7 @@
     LogEvent("table_history_gone", LogLevel::kWarning)
         .Field("table", options_.table)
         .Field("version", static_cast<int64_t>(version_));
-    ReadPage("");
+    RetryAfterFailure("watch", outcome, [this] { ReadPage(""); });
     return;
   }
   Result<StoreRows> decoded = Error{};
--- a/src/gateway/control/table_watcher.h
+++ b/src/gateway/control/table_watcher.h
@@ -95,6 +95,8 @@
   std::vector<StoreRow> snapshot_rows_;  // Rows of the full read in progress.
   uint64_t first_page_version_ = 0;
   uint64_t version_ = 0;  // All changes up to here were passed on.
+  // Failures since the last successful long poll. A full read does not end
+  // them: what it returns may be too old for a long poll.
   int consecutive_failures_ = 0;
   Duration max_backoff_;
   // Whether a long poll succeeded since the last failure or full read. If not,
--- a/tests/unit/config_in_time_test.cc
+++ b/tests/unit/config_in_time_test.cc
@@ -123,6 +123,24 @@
   EXPECT_TRUE(Within(kRecoveryBound, zone.all(), kNew));
 }
 
+// Reads of whole tables are dear for the store and for small instances.
+TEST_F(ConfigInTimeTest, StoreIsNotReadOverAndOverWhileItsReadsAreOld) {
+  ServingZone& zone = StartZone(1);
+  FakeStoreEndpoint& endpoint = zone.all()[0]->endpoint();
+  endpoint.SetReadsBehind(true);
+  store_.AbandonPendingWatches();
+  PutConfig(store_, kNew);
+  store_.DropHistory();
+  uint64_t watches = endpoint.watches("op");
+  ASSERT_TRUE(RunUntil(io_, Seconds(5), [&endpoint, watches] {
+    return endpoint.watches("op") > watches;
+  }));
+  double calls = zone.all()[0]->StoreCalls();
+  RunUntil(io_, Seconds(2), [] { return false; });
+  // Two tables, each with a read and a long poll, up to ten times.
+  EXPECT_LE(zone.all()[0]->StoreCalls() - calls, 40);
+}
+
 // One long poll is answered again, so the other one need not be waited for.
 TEST_F(ConfigInTimeTest, ConfigWaitsForAForgottenCallAlthoughTheStoreResponds) {
   ServingZone& zone = StartZone(1);
