--- /dev/null
+++ b/tests/support/traffic_fixture.h
@@ -0,0 +1,136 @@
+// A gateway's traffic side with fake backend servers, on a thread of its own,
+// and a caller that sends it requests.
+
+#ifndef MANGOYOKE_TESTS_SUPPORT_TRAFFIC_FIXTURE_H_
+#define MANGOYOKE_TESTS_SUPPORT_TRAFFIC_FIXTURE_H_
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "gateway/traffic/request_router.h"
+#include "platform/http_codec.h"
+#include "tests/support/fake_server.h"
+
+namespace mangoyoke {
+
+inline constexpr char kListenAddress[] = "127.0.0.1:18940";
+inline constexpr int kListenPort = 18940;
+inline constexpr int kFirstServerPort = 18941;
+// Longer than the window of the retry budget: a process that has just started
+// does not get the fixed part of the budget.
+inline constexpr Duration kProcessAge = Seconds(60);
+
+class GatewayTrafficTest : public ::testing::Test {
+ protected:
+  GatewayTrafficTest()
+      : context_(io_,
+                 "z",
+                 callers_,
+                 backends_,
+                 metrics_,
+                 SharedRetryBudgetOptions{},
+                 SteadyClock::now() - kProcessAge),
+        router_(context_),
+        listener_(io_, router_) {}
+
+  ~GatewayTrafficTest() override {
+    if (thread_.joinable()) {
+      io_.stop();
+      thread_.join();
+    }
+  }
+
+  FakeServer& AddServer(ServerStage stage, FakeServer::Action action) {
+    BackendServer record;
+    record.id = "server-" + std::to_string(servers_.size());
+    record.service = "s";
+    record.zone = "z";
+    record.address =
+        "127.0.0.1:" +
+        std::to_string(kFirstServerPort + static_cast<int>(servers_.size()));
+    record.slots = 4;
+    record.stage = stage;
+    servers_.push_back(
+        std::make_unique<FakeServer>(io_, record, std::move(action)));
+    return *servers_.back();
+  }
+
+  void StartGateway(RequestKind kind, bool resumable, int max_servers) {
+    RouteRule route;
+    route.id = "r";
+    route.host = "h";
+    route.prefix = "/";
+    route.kind = kind;
+    route.timeout = Millis(1500);
+    route.target_latency = Millis(400);
+    route.target_gap = Millis(100);
+    route.max_servers = max_servers;
+    route.resumable = resumable;
+    route.services = {{"s", 1}};
+    context_.config = std::make_shared<ServingConfig>(
+        1, std::vector<RouteRule>{route}, std::vector<ServiceRule>{service_},
+        CallerLimits{});
+    ServerSnapshot snapshot;
+    for (const auto& server : servers_) {
+      snapshot.servers[server->record().id] = server->record();
+    }
+    context_.servers = std::make_shared<ServerSnapshot>(snapshot);
+    ASSERT_TRUE(Ok(listener_.Listen(kListenAddress)));
+    thread_ = std::thread([this] { io_.run(); });
+  }
+
+  // Sends one request and returns all bytes received until the connection
+  // closes.
+  std::string SendRequest(const std::string& method = "POST",
+                          const std::string& headers = "") {
+    boost::asio::io_context io;
+    Tcp::socket socket(io);
+    socket.connect(
+        Tcp::endpoint(boost::asio::ip::address_v4::loopback(), kListenPort));
+    std::string request = method +
+                          " /x HTTP/1.1\r\nHost: h\r\n"
+                          "X-Mangoyoke-Request-Id: id-1\r\n"
+                          "X-Mangoyoke-Token-Counts: 900,100\r\n" +
+                          headers + "Connection: close\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(request));
+    std::string received;
+    boost::system::error_code error;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+    return received;
+  }
+
+  size_t ActiveRequests() {
+    std::promise<size_t> open;
+    boost::asio::post(io_, [&] { open.set_value(router_.active_requests()); });
+    return open.get_future().get();
+  }
+
+  boost::asio::io_context io_{1};
+  platform::PlatformCallerCodec callers_;
+  platform::PlatformBackendCodec backends_;
+  Metrics metrics_;
+  TrafficContext context_;
+  RequestRouter router_;
+  HttpListener listener_;
+  ServiceRule service_{"s"};
+  std::vector<std::unique_ptr<FakeServer>> servers_;
+  std::thread thread_;
+};
+
+inline bool HasStatus(const std::string& response, int status) {
+  return response.starts_with("HTTP/1.1 " + std::to_string(status));
+}
+
+}  // namespace mangoyoke
+
+#endif  // MANGOYOKE_TESTS_SUPPORT_TRAFFIC_FIXTURE_H_
