Send nothing new to servers that say they drain or want a pause

What callers saw: requests sent to servers that were being stopped, or that had just said that they want none, and rejected or cut there.

Cause: only the registry told that a server drains, so an instance cut off from the store went on sending; Retry-After in a server's 503 was not read at all, and a server was avoided for 50 ms after a rejection.

Change: the codec decodes both into typed fields of the response head; core/server_notices keeps them by incarnation, whatever the registry says; placement passes such servers over without exception; a decode server chosen before is given up before the request is sent. If no server is left the caller is told at once when the first pause ends, spread by half of that time. What a server says replaces the avoidance inferred from its rejections.

Not built: telling the peers (docs/design/platform.md).

--- a/src/gateway/core/codecs.h
+++ b/src/gateway/core/codecs.h
@@ -81,6 +81,11 @@
   bool not_executed = false;
   bool wrong_server = false;  // Another incarnation now uses the address.
   bool event_stream = false;
+  // The server is draining and wants no new requests.
+  bool draining = false;
+  // The server rejected the request and wants no more for this long.
+  std::optional<Duration> pause;
+  bool malformed_pause = false;  // It named a time that cannot be read.
 };
 
 // Wire format of requests from callers and the responses to them.
--- a/src/gateway/core/placement.cc
+++ b/src/gateway/core/placement.cc
@@ -86,6 +86,27 @@
   return cost;
 }
 
+// Whether `server` wants new work; counts it in `choice` if not.
+bool CheckAccepting(const PlacementContext& context,
+                    const BackendServer& server,
+                    PlacementChoice& choice) {
+  switch (context.notices.StateOf(server, context.now)) {
+    case WorkState::kAccepting:
+      return true;
+    case WorkState::kDraining:
+      ++choice.draining_servers;
+      return false;
+    case WorkState::kPaused:
+      ++choice.paused_servers;
+      break;
+  }
+  auto end = context.notices.PausedUntil(server, context.now);
+  if (!choice.pause_ends || *end < *choice.pause_ends) {
+    choice.pause_ends = end;
+  }
+  return false;
+}
+
 }  // namespace
 
 PlacementChoice LeastTimePlacement::Choose(const PlacementQuery& query,
@@ -95,7 +116,8 @@
   double best_score = 0;
   for (const auto& [id, server] : context.servers.servers) {
     if (server.service != query.service || server.stage != query.stage ||
-        server.state != ServerState::kReady || query.excluded.contains(id)) {
+        server.state != ServerState::kReady || query.excluded.contains(id) ||
+        !CheckAccepting(context, server, best)) {
       continue;
     }
     LoadCharge load = context.load.At(id, context.now);
@@ -108,12 +130,12 @@
     if (better) {
       double share_with_request =
           MemoryShare(load, query.kv_tokens, context.service);
-      best = PlacementChoice{&server,
-                             cost,
-                             load,
-                             usable,
-                             share_with_request <= query.max_memory_share,
-                             MemoryShare(load, 0, context.service)};
+      best.server = &server;
+      best.cost = cost;
+      best.load = load;
+      best.usable = usable;
+      best.has_capacity = share_with_request <= query.max_memory_share;
+      best.memory_share = MemoryShare(load, 0, context.service);
       best_usable = usable;
       best_score = score;
     }
--- a/src/gateway/core/placement.h
+++ b/src/gateway/core/placement.h
@@ -6,11 +6,13 @@
 #define MANGOYOKE_GATEWAY_CORE_PLACEMENT_H_
 
 #include <functional>
+#include <optional>
 #include <set>
 
 #include "gateway/core/backend_server.h"
 #include "gateway/core/server_health.h"
 #include "gateway/core/server_load.h"
+#include "gateway/core/server_notices.h"
 #include "gateway/core/serving_config.h"
 #include "mangoyoke/clock.h"
 
@@ -43,6 +45,7 @@
   const ServerSnapshot& servers;
   ServerLoad& load;
   const ServerHealth& health;
+  const ServerNotices& notices;
   const ServiceRule* service = nullptr;  // Null if not configured.
   double prefill_ms_per_token = 0;
   TimePoint now;
@@ -56,6 +59,10 @@
   bool usable = true;        // False: avoided for recent failures.
   bool has_capacity = true;  // Whether its memory suffices, as far as known.
   double memory_share = 0;   // Memory in use without this request; 1 is full.
+  // Servers that were passed over since they want no new work.
+  int draining_servers = 0;
+  int paused_servers = 0;
+  std::optional<TimePoint> pause_ends;  // The first of those pauses to end.
 };
 
 // Interface of a placement policy.
--- a/src/gateway/core/server_health.cc
+++ b/src/gateway/core/server_health.cc
@@ -30,6 +30,8 @@
       return "error";
     case ServerOutcome::kRejected:
       return "full";
+    case ServerOutcome::kPaused:
+      return "paused";
     case ServerOutcome::kUnreachable:
       return "unreachable";
     case ServerOutcome::kIncomplete:
@@ -67,8 +69,9 @@
     record.start_time_ms = server.start_time_ms;
   }
   double decay = Decay(record, now);
-  bool failed =
-      outcome != ServerOutcome::kSuccess && outcome != ServerOutcome::kRejected;
+  bool failed = outcome != ServerOutcome::kSuccess &&
+                outcome != ServerOutcome::kRejected &&
+                outcome != ServerOutcome::kPaused;
   record.failures = record.failures * decay + (failed ? 1 : 0);
   record.requests = record.requests * decay + 1;
   record.updated = now;
@@ -78,7 +81,11 @@
   if (outcome == ServerOutcome::kSuccess) {
     return;
   }
-  if (outcome == ServerOutcome::kRejected) {
+  if (outcome == ServerOutcome::kPaused) {
+    // What the server says replaces what was inferred from its failures.
+    record.avoid_until = now;
+    record.avoid_time = Duration::zero();
+  } else if (outcome == ServerOutcome::kRejected) {
     Avoid(record, kRejectedAvoidance, now);
   } else if (outcome != ServerOutcome::kError) {
     Avoid(record, kInitialAvoidance, now);
--- a/src/gateway/core/server_health.h
+++ b/src/gateway/core/server_health.h
@@ -17,6 +17,7 @@
   kSuccess,      // A complete response.
   kError,        // A complete response that reports a server error.
   kRejected,     // Refused for lack of capacity.
+  kPaused,       // The same, and the server said for how long.
   kUnreachable,  // The connection failed.
   kIncomplete,   // The response was cut off or malformed.
   kTimeout,      // No response before the timeout.
--- a/src/gateway/traffic/active_request.cc
+++ b/src/gateway/traffic/active_request.cc
@@ -21,6 +21,9 @@
 // peak has to pass first.
 constexpr double kOverloadRetryMs = 1500;
 constexpr double kOverloadSpreadMs = 2500;
+// Spread of the Retry-After of a request whose servers all want no work for a
+// while, as a share of that time.
+constexpr double kPauseSpreadShare = 0.5;
 constexpr unsigned kServerErrors = 500;
 
 // The outcome of an attempt, as recorded for the health of its server.
@@ -36,7 +39,8 @@
     return ServerOutcome::kIncomplete;
   }
   if (outcome.response.not_executed) {
-    return ServerOutcome::kRejected;
+    return outcome.response.pause ? ServerOutcome::kPaused
+                                  : ServerOutcome::kRejected;
   }
   return outcome.response.status >= kServerErrors ? ServerOutcome::kError
                                                   : ServerOutcome::kSuccess;
@@ -128,14 +132,26 @@
   return std::max(std::chrono::duration_cast<Millis>(left), Millis(1));
 }
 
-void ActiveRequest::SendErrorResponse(ErrorCode code, std::string_view why) {
+Duration ActiveRequest::RetryAfter(ErrorCode code,
+                                   std::optional<TimePoint> earliest) {
+  if (earliest) {
+    double wait = std::max(0.0, ToMillis(*earliest - SteadyClock::now()));
+    double spread = std::max(kRetrySpreadMs, kPauseSpreadShare * wait);
+    return FromMillis(wait + spread * context_.Random());
+  }
+  bool overload = code == ErrorCode::kDeadlineExpired;
+  double first = overload ? kOverloadRetryMs : kRetryAfterMs;
+  double spread = overload ? kOverloadSpreadMs : kRetrySpreadMs;
+  return FromMillis(first + spread * context_.Random());
+}
+
+void ActiveRequest::SendErrorResponse(ErrorCode code,
+                                      std::string_view why,
+                                      std::optional<TimePoint> earliest) {
   const ErrorInfo& info = GetErrorInfo(code);
   std::optional<Duration> retry_after;
   if (info.execution == Execution::kNotExecuted) {
-    bool overload = code == ErrorCode::kDeadlineExpired;
-    double first = overload ? kOverloadRetryMs : kRetryAfterMs;
-    double spread = overload ? kOverloadSpreadMs : kRetrySpreadMs;
-    retry_after = FromMillis(first + spread * context_.Random());
+    retry_after = RetryAfter(code, earliest);
   }
   context_.metrics.Increment("mangoyoke_refusals_total", "reason", info.name);
   attempt_.reset();
@@ -223,10 +239,30 @@
       *context_.servers,
       context_.load,
       context_.health,
+      context_.notices,
       input_.config->FindService(input_.service),
       context_.prefill_speed.MillisPerToken(input_.service),
       SteadyClock::now()};
-  return context_.placement->Choose(query, placement_context);
+  PlacementChoice choice = context_.placement->Choose(query, placement_context);
+  if (choice.server == nullptr &&
+      choice.draining_servers + choice.paused_servers > 0) {
+    LogEvent line("servers_want_no_work", LogLevel::kWarning);
+    line.Field("request", input_.caller_request.id)
+        .Field("service", input_.service)
+        .Field("stage", StageName(query.stage))
+        .Field("draining", static_cast<int64_t>(choice.draining_servers))
+        .Field("paused", static_cast<int64_t>(choice.paused_servers));
+    if (choice.pause_ends) {
+      line.Field("first_in_ms",
+                 ToMillis(*choice.pause_ends - placement_context.now));
+    }
+  }
+  return choice;
+}
+
+bool ActiveRequest::WantsWork(const BackendServer& server) const {
+  return context_.notices.StateOf(server, SteadyClock::now()) ==
+         WorkState::kAccepting;
 }
 
 void ActiveRequest::StartAttempt(const BackendServer& server,
--- a/src/gateway/traffic/active_request.h
+++ b/src/gateway/traffic/active_request.h
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -92,7 +93,11 @@
   // Final responses. Each call ends the request, and only one may be made.
 
   // Sends the error response for `code`; `why` is its detail and is logged.
-  void SendErrorResponse(ErrorCode code, std::string_view why);
+  // `earliest`: when a server of the service wants requests again, if none does
+  // now; callers are told to come back after that.
+  void SendErrorResponse(ErrorCode code,
+                         std::string_view why,
+                         std::optional<TimePoint> earliest = std::nullopt);
   // Sends a backend server's complete response.
   void Reply(const http::response_header<>& head, std::string body);
   // Ends a streamed response normally.
@@ -108,6 +113,8 @@
   bool TryAcquireRetry();
   // Chooses a server of the request's service, without the excluded servers.
   PlacementChoice ChooseServer(PlacementQuery query);
+  // Whether `server` has not said that it wants no new requests.
+  bool WantsWork(const BackendServer& server) const;
   // Sends the request to `server`. Cancels the current attempt, if any.
   // `timeout`: how long the attempt may take.
   void StartAttempt(const BackendServer& server,
@@ -143,6 +150,8 @@
   bool ended_ = false;
 
  private:
+  // When the caller of a request that was not executed may come back.
+  Duration RetryAfter(ErrorCode code, std::optional<TimePoint> earliest);
   // Counts, logs and removes the request. `status` is 0 without a response.
   void End(std::string_view outcome, std::string_view why, int status);
 
--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -25,7 +25,7 @@
 
 void EngineRequest::Decode() {
   auto server = std::exchange(decode_server_, std::nullopt);
-  if (server && IsCurrent(*server)) {
+  if (server && IsCurrent(*server) && WantsWork(*server)) {
     StartDecode(*server);
     return;
   }
--- a/src/gateway/traffic/engine_request.cc
+++ b/src/gateway/traffic/engine_request.cc
@@ -126,12 +126,14 @@
   return FromMillis(target - PrefillMillis() - kFirstEventMs);
 }
 
+TimePoint EngineRequest::WaitDeadline() const {
+  return handle_ ? std::max(wait_deadline_, handle_deadline_) : wait_deadline_;
+}
+
 void EngineRequest::WaitForCapacity() {
-  TimePoint wait_deadline =
-      handle_ ? std::max(wait_deadline_, handle_deadline_) : wait_deadline_;
   context_.admission->Enqueue(
       input_.service, id(),
-      QueuedRequest{input_.route->priority, Rank(), wait_deadline});
+      QueuedRequest{input_.route->priority, Rank(), WaitDeadline()});
 }
 
 void EngineRequest::RetryAdmission() {
@@ -166,7 +168,9 @@
   PlacementChoice choice = ChooseServer(query);
   if (choice.server == nullptr) {
     query.stage = ServerStage::kCombined;
+    std::optional<TimePoint> pause_ends = choice.pause_ends;
     choice = ChooseServer(query);
+    choice.pause_ends = choice.pause_ends ? choice.pause_ends : pause_ends;
   }
   return choice;
 }
@@ -196,8 +200,14 @@
   DropExpiredHandle();
   PlacementChoice choice = ChooseDecodeServer();
   if (choice.server == nullptr) {
+    // Work that is done would be lost; without such work the caller is told at
+    // once when to come back.
+    if (Rank() == QueueRank::kInProgress && choice.pause_ends &&
+        *choice.pause_ends < WaitDeadline()) {
+      return false;
+    }
     FailRequest(ErrorCode::kNoBackend,
-                "the service has no usable decode server");
+                "the service has no usable decode server", choice.pause_ends);
     return true;
   }
   bool in_time = PrefillInTime();
@@ -252,21 +262,26 @@
     }
   }
   if (outcome.response.status == kNoCapacityStatus) {
-    context_.health.RecordOutcome(server, ServerOutcome::kRejected, 0,
-                                  SteadyClock::now());
+    context_.health.RecordOutcome(server,
+                                  outcome.response.pause
+                                      ? ServerOutcome::kPaused
+                                      : ServerOutcome::kRejected,
+                                  0, SteadyClock::now());
   } else {
     RecordServerOutcome(server, outcome, 0);
   }
   RetryAdmission();
 }
 
-void EngineRequest::FailRequest(ErrorCode code, std::string_view why) {
+void EngineRequest::FailRequest(ErrorCode code,
+                                std::string_view why,
+                                std::optional<TimePoint> earliest) {
   if (streaming_) {
     AbortStream(ErrorCode::kBackendBroken, why);
   } else if (possible_executions_ > 0) {
     SendErrorResponse(ErrorCode::kBackendBroken, why);
   } else {
-    SendErrorResponse(code, why);
+    SendErrorResponse(code, why, earliest);
   }
 }
 
--- a/src/gateway/traffic/engine_request.h
+++ b/src/gateway/traffic/engine_request.h
@@ -55,6 +55,8 @@
   QueueRank Rank() const;
   // How long the request may wait for capacity from now on.
   Duration MaxWait() const;
+  // How long the request may wait for capacity in the admission queue.
+  TimePoint WaitDeadline() const;
   // Puts the request into the admission queue.
   void WaitForCapacity();
   // Releases what was taken at the chosen decode server and chooses again, or
@@ -113,8 +115,11 @@
   // The stream broke or the server failed: resumes or ends the request.
   void OnDecodeFailed(bool timed_out);
   // Ends the request with an error. `code` is replaced if a server may have
-  // executed the request, since `code` may say that none did.
-  void FailRequest(ErrorCode code, std::string_view why);
+  // executed the request, since `code` may say that none did. `earliest`: see
+  // SendErrorResponse.
+  void FailRequest(ErrorCode code,
+                   std::string_view why,
+                   std::optional<TimePoint> earliest = std::nullopt);
   // Output tokens generated so far.
   int64_t GeneratedTokens() const;
   // KV memory of the request at a decode server, in tokens: prompt, generated
--- a/src/gateway/traffic/plain_request.cc
+++ b/src/gateway/traffic/plain_request.cc
@@ -69,7 +69,7 @@
                         "no further usable server for a retry");
     } else {
       SendErrorResponse(ErrorCode::kNoBackend,
-                        "the service has no usable server");
+                        "the service has no usable server", choice.pause_ends);
     }
     return;
   }
--- a/src/gateway/traffic/server_attempt.cc
+++ b/src/gateway/traffic/server_attempt.cc
@@ -22,9 +22,11 @@
                           Duration timeout,
                           AttemptCallbacks callbacks) {
   ExchangeCallbacks exchange_callbacks;
-  exchange_callbacks.on_head = [this, on_head = std::move(callbacks.on_head)](
+  exchange_callbacks.on_head = [this, request_id,
+                                on_head = std::move(callbacks.on_head)](
                                    const http::response_header<>& head) {
     response_ = context_.backends.DecodeResponse(head);
+    RecordNotice(request_id);
     return on_head && on_head(head, response_);
   };
   exchange_callbacks.on_data = std::move(callbacks.on_data);
@@ -41,6 +43,17 @@
                   std::move(exchange_callbacks));
 }
 
+void ServerAttempt::RecordNotice(const std::string& request_id) {
+  if (response_.draining) {
+    context_.metrics.Increment("mangoyoke_draining_responses_total");
+  }
+  if (response_.pause) {
+    context_.metrics.Increment("mangoyoke_server_pauses_total");
+  }
+  context_.notices.RecordResponse(server_, response_, request_id,
+                                  SteadyClock::now());
+}
+
 void ServerAttempt::SetCharge(const LoadCharge& charge) {
   context_.load.Change(charge_id_, charge);
 }
--- a/src/gateway/traffic/server_attempt.h
+++ b/src/gateway/traffic/server_attempt.h
@@ -63,6 +63,9 @@
   void SetPaused(bool paused) { exchange_.SetPaused(paused); }
 
  private:
+  // Records and counts what the response head says of the server itself.
+  void RecordNotice(const std::string& request_id);
+
   TrafficContext& context_;
   BackendServer server_;
   uint64_t charge_id_;
--- a/src/gateway/traffic/traffic_context.cc
+++ b/src/gateway/traffic/traffic_context.cc
@@ -45,7 +45,8 @@
                       const std::string& address,
                       HttpRequest request) {
   uint64_t id = context.next_background_id++;
-  BackendServer server;
+  const BackendServer* known = context.servers->Find(server_id);
+  BackendServer server = known != nullptr ? *known : BackendServer{};
   server.id = server_id;
   server.address = address;
   AttemptCallbacks callbacks;
--- a/src/gateway/traffic/traffic_context.h
+++ b/src/gateway/traffic/traffic_context.h
@@ -16,6 +16,7 @@
 #include "gateway/core/prefill_speed.h"
 #include "gateway/core/server_health.h"
 #include "gateway/core/server_load.h"
+#include "gateway/core/server_notices.h"
 #include "gateway/core/shared_retry_budget.h"
 #include "gateway/net/connection_pool.h"
 
@@ -50,6 +51,7 @@
   ConnectionPool pool;
   ServerLoad load;
   ServerHealth health;
+  ServerNotices notices;
   SharedRetryBudget retry_budget;
   CallerRetryDetector caller_retry_detector;
   PrefillSpeed prefill_speed;
--- a/src/tool/explain.cc
+++ b/src/tool/explain.cc
@@ -52,6 +52,9 @@
       {"error", "responded with an error of its own"},
       {"full",
        "refused: no capacity; it confirms that the request was not executed"},
+      {"paused",
+       "refused: it wants no requests for a time that it named; it confirms "
+       "that the request was not executed"},
       {"unreachable", "could not be reached"},
       {"broken", "returned no complete, valid response"},
       {"silent", "did not respond in time"}};
@@ -76,6 +79,15 @@
         << line.Value("known_requests") << " requests, and the request needs "
         << line.Value("needed_tokens") << " tokens; " << line.Value("waiting")
         << " other requests wait at this instance";
+  } else if (line.event == "servers_want_no_work") {
+    out << "no " << line.Value("stage") << " server of service "
+        << line.Value("service")
+        << " takes new requests: " << line.Value("draining")
+        << " are draining, " << line.Value("paused")
+        << " have asked for a pause";
+    if (const std::string first = line.Value("first_in_ms"); !first.empty()) {
+      out << ", the first of which ends in " << first << " ms";
+    }
   } else if (line.event == "repeat_denied") {
     out << "not retried: the retry budget shared by all requests of service "
         << line.Value("service") << " is used up";
--- a/tests/support/fake_server.h
+++ b/tests/support/fake_server.h
@@ -18,6 +18,7 @@
 
 namespace mangoyoke {
 
+using platform::kDrainingHeader;
 using platform::kNotExecutedHeader;
 using platform::kRequestIdHeader;
 using platform::kResponseStampHeader;
@@ -93,6 +94,32 @@
   };
 }
 
+// The same, and asks for no requests for `retry_after`, as in the header.
+inline FakeServer::Action RespondPaused(const std::string& retry_after) {
+  return [retry_after](const HttpRequest& request, auto responder) {
+    HttpResponse response =
+        StampedResponse(request, http::status::service_unavailable, "");
+    response.set(kNotExecutedHeader, "1");
+    response.set(http::field::retry_after, retry_after);
+    responder->Reply(std::move(response));
+  };
+}
+
+// Responds like a draining server.
+inline FakeServer::Action RespondDraining(http::status status,
+                                          const std::string& body,
+                                          bool not_executed = false) {
+  return
+      [status, body, not_executed](const HttpRequest& request, auto responder) {
+        HttpResponse response = StampedResponse(request, status, body);
+        response.set(kDrainingHeader, "1");
+        if (not_executed) {
+          response.set(kNotExecutedHeader, "1");
+        }
+        responder->Reply(std::move(response));
+      };
+}
+
 inline FakeServer::Action ResetConnection() {
   return [](const HttpRequest&, auto responder) { responder->Abort(); };
 }
--- a/tests/unit/explain_test.cc
+++ b/tests/unit/explain_test.cc
@@ -35,6 +35,20 @@
   EXPECT_NE(explanation.find("was not executed"), std::string::npos);
 }
 
+TEST(ExplainTest, RejectionSinceNoServerWantsWork) {
+  std::string explanation = Explain(
+      "time_ms=1800 level=warning instance=e1 event=servers_want_no_work "
+      "request=r4 service=s stage=whole draining=1 paused=2 first_in_ms=900\n"
+      "time_ms=1801 level=warning instance=e1 event=request_end request=r4 "
+      "outcome=no_backend status=503 ms=1 sends=0 config=4 registry=9 "
+      "why=\"the service has no usable server\"\n",
+      "r4");
+  EXPECT_NE(explanation.find("1 are draining, 2 have asked for a pause, the "
+                             "first of which ends in 900 ms"),
+            std::string::npos)
+      << explanation;
+}
+
 TEST(ExplainTest, BrokenStreamWithWhatWasBelievedOfItsServer) {
   std::string explanation = Explain(
       "time_ms=9000 level=warning instance=e2 event=request_end request=r2 "
--- a/tests/unit/gateway_core_test.cc
+++ b/tests/unit/gateway_core_test.cc
@@ -370,14 +370,16 @@
   PlacementTest() : load_(ReportTtls{}), placement_([] { return 0.0; }) {}
 
   PlacementChoice Choose(const PlacementQuery& query) {
-    return placement_.Choose(query, PlacementContext{snapshot_, load_, health_,
-                                                     &rule_, 1.0 / 30, kStart});
+    return placement_.Choose(
+        query, PlacementContext{snapshot_, load_, health_, notices_, &rule_,
+                                1.0 / 30, kStart});
   }
   void Add(const BackendServer& server) {
     snapshot_.servers[server.id] = server;
   }
 
   ServerSnapshot snapshot_;
+  ServerNotices notices_;
   ServerLoad load_;
   ServerHealth health_;
   ServiceRule rule_;
