Do not say 'not executed' of a request that a server broke off

What callers saw: 503 with a Retry-After, which states that the request was not executed, for an idempotent request that one server had received and broken off when after that four other servers could not be connected to, or the time was up.

Cause: after a failed connection the request ended with no_backend directly, past the check that the other endings make. The ending stood three times in PlainRequest, each a little different.

Evidence: RequestThatMayHaveRunIsNotReportedAsNotExecuted failed before (503 no_backend), passes now (502).

Why this works: one ending, Fail, checks whether a server may have executed the request, whatever the cause.

--- a/src/gateway/traffic/plain_request.cc
+++ b/src/gateway/traffic/plain_request.cc
@@ -62,15 +62,8 @@
     choice = ChooseServer(PlacementQuery{});
   }
   if (choice.server == nullptr) {
-    if (last_error_response_) {
-      Reply(*last_error_response_->head, std::move(last_error_response_->body));
-    } else if (possible_executions_ > 0) {
-      SendErrorResponse(ErrorCode::kBackendBroken,
-                        "no further usable server for a retry");
-    } else {
-      SendErrorResponse(ErrorCode::kNoBackend,
-                        "the service has no usable server", choice.pause_ends);
-    }
+    Fail(ErrorCode::kNoBackend, "the service has no usable server",
+         choice.pause_ends);
     return;
   }
   AttemptCallbacks callbacks;
@@ -95,8 +88,7 @@
     if (++unreachable_ < kMaxUnreachable && TimeLeft() > Duration::zero()) {
       StartNextAttempt();
     } else {
-      SendErrorResponse(ErrorCode::kNoBackend,
-                        "no connection to the last server tried");
+      Fail(ErrorCode::kNoBackend, "no connection to the last server tried");
     }
     return;
   }
@@ -140,16 +132,21 @@
     StartNextAttempt();
     return;
   }
+  Fail(code, why);
+}
+
+void PlainRequest::Fail(ErrorCode code,
+                        std::string_view why,
+                        std::optional<TimePoint> earliest) {
   if (last_error_response_) {
     Reply(*last_error_response_->head, std::move(last_error_response_->body));
     return;
   }
-  // An error that states "not executed" must not be sent if a server may have
-  // executed the request.
   bool may_have_executed =
       possible_executions_ > 0 &&
       GetErrorInfo(code).execution == Execution::kNotExecuted;
-  SendErrorResponse(may_have_executed ? ErrorCode::kBackendBroken : code, why);
+  SendErrorResponse(may_have_executed ? ErrorCode::kBackendBroken : code, why,
+                    earliest);
 }
 
 }  // namespace mangoyoke
--- a/src/gateway/traffic/plain_request.h
+++ b/src/gateway/traffic/plain_request.h
@@ -19,9 +19,15 @@
   // Sends the request to the next server; ends it if there is none.
   void StartNextAttempt();
   void OnAttemptEnd(const BackendServer& server, AttemptOutcome outcome);
-  // Retries if that is allowed. Otherwise ends the request with the last error
-  // response of a server, or else with an error of code `code`.
+  // Retries if that is allowed, else fails.
   void RetryOrFail(ErrorCode code, std::string_view why);
+  // Ends the request with the last error response of a server. If there is
+  // none, ends it with `code`, or with kBackendBroken if `code` states that the
+  // request was not executed although it may have been. `earliest`: when a
+  // server is expected to accept it.
+  void Fail(ErrorCode code,
+            std::string_view why,
+            std::optional<TimePoint> earliest = std::nullopt);
   // Timeout of the next attempt.
   Duration AttemptTimeout() const;
 
--- a/tests/support/traffic_fixture.h
+++ b/tests/support/traffic_fixture.h
@@ -89,6 +89,31 @@
     thread_ = std::thread([this] { io_.run(); });
   }
 
+  // Lists `count` further servers, at which nobody listens, for the running
+  // gateway. They have failed before if `failed`, so that others are preferred;
+  // else they are preferred themselves.
+  void ListUnreachableServers(int count, bool failed) {
+    std::promise<void> listed;
+    boost::asio::post(io_, [&] {
+      ServerSnapshot snapshot = *context_.servers;
+      for (int i = 0; i < count; ++i) {
+        BackendServer server;
+        server.id = "unreachable-" + std::to_string(i);
+        server.service = "s";
+        server.address = "127.0.0.1:" + std::to_string(i + 1);
+        server.slots = 1000;
+        if (failed) {
+          context_.health.RecordOutcome(server, ServerOutcome::kError, 0,
+                                        SteadyClock::now());
+        }
+        snapshot.servers[server.id] = server;
+      }
+      context_.servers = std::make_shared<ServerSnapshot>(snapshot);
+      listed.set_value();
+    });
+    listed.get_future().wait();
+  }
+
   // Sends one request and returns all bytes received until the connection
   // closes.
   std::string SendRequest(const std::string& method = "POST",
--- a/tests/unit/gateway_traffic_test.cc
+++ b/tests/unit/gateway_traffic_test.cc
@@ -91,24 +91,23 @@
 TEST_F(GatewayTrafficTest, UnreachableServerCostsNothing) {
   AddServer(ServerStage::kCombined, RespondWith(http::status::ok, "done"));
   StartGateway(RequestKind::kNonIdempotent, false, 1);
-  std::promise<void> added;
-  boost::asio::post(io_, [&] {
-    ServerSnapshot snapshot = *context_.servers;
-    BackendServer unreachable;
-    unreachable.id = "gone";
-    unreachable.service = "s";
-    unreachable.address = "127.0.0.1:1";
-    unreachable.slots = 1000;  // So that it is the preferred server.
-    snapshot.servers["gone"] = unreachable;
-    context_.servers = std::make_shared<ServerSnapshot>(snapshot);
-    added.set_value();
-  });
-  added.get_future().wait();
+  ListUnreachableServers(1, false);
   for (int i = 0; i < 6; ++i) {
     EXPECT_TRUE(HasStatus(SendRequest(), 200));
   }
 }
 
+// One server broke off in mid-request, then no connection to any other
+// succeeds.
+TEST_F(GatewayTrafficTest, RequestThatMayHaveRunIsNotReportedAsNotExecuted) {
+  AddServer(ServerStage::kCombined, ResetConnection());
+  StartGateway(RequestKind::kIdempotent, false, 5);
+  ListUnreachableServers(4, true);
+  std::string response = SendRequest("GET");
+  EXPECT_TRUE(HasStatus(response, 502)) << response;
+  EXPECT_EQ(servers_[0]->requests_received(), 1);
+}
+
 TEST_F(GatewayTrafficTest, StreamPassesThroughPrefillAndDecode) {
   AddServer(ServerStage::kPrefill, RespondWithKvHandle("h1"));
   AddServer(ServerStage::kDecode, StreamEvents(io_, 1, 3, true));
