Send no releases to servers that want a pause

What servers saw: after a 503 with Retry-After, which says that a server wants nothing from this instance for that long, releases of KV reservations still arrived: one for each request that had been admitted there and was given up because of the pause, when its prefill ended.

Cause: releases are sent in the background, past placement, which is what passes paused servers over.

Evidence: PausedServerGetsNoReleaseOfAReservation failed before (one release), passes now.

Why this works: the notice is looked up where a release is sent. Releases to draining servers are sent as before. The omitted ones are counted.

--- a/src/gateway/traffic/traffic_context.cc
+++ b/src/gateway/traffic/traffic_context.cc
@@ -39,16 +39,25 @@
 
 namespace {
 
-// Sends `request` to a server and ignores the response.
-void SendInBackground(TrafficContext& context,
-                      const BackendId& server_id,
-                      const std::string& address,
-                      HttpRequest request) {
-  uint64_t id = context.next_background_id++;
+// Sends `release` to a server, ignores the response and increments the counter
+// `sent_counter`. A server that is paused wants no release either; it frees
+// what is not used in time by itself.
+void SendRelease(TrafficContext& context,
+                 const BackendId& server_id,
+                 const std::string& address,
+                 HttpRequest release,
+                 const std::string& sent_counter) {
   const BackendServer* known = context.servers->Find(server_id);
   BackendServer server = known != nullptr ? *known : BackendServer{};
   server.id = server_id;
   server.address = address;
+  if (context.notices.StateOf(server, SteadyClock::now()) ==
+      WorkState::kPaused) {
+    context.metrics.Increment("mangoyoke_releases_omitted_total");
+    return;
+  }
+  context.metrics.Increment(sent_counter);
+  uint64_t id = context.next_background_id++;
   AttemptCallbacks callbacks;
   callbacks.on_end = [&context, id](AttemptOutcome) {
     boost::asio::post(
@@ -56,23 +65,23 @@
   };
   auto attempt = std::make_unique<ServerAttempt>(context, server, LoadCharge{});
   context.background_attempts.emplace(id, std::move(attempt))
-      .first->second->Start(std::move(request), "", false, kReleaseTimeout,
+      .first->second->Start(std::move(release), "", false, kReleaseTimeout,
                             std::move(callbacks));
 }
 
 }  // namespace
 
 void ReleaseHandle(TrafficContext& context, const PrefillHandle& handle) {
-  context.metrics.Increment("mangoyoke_handles_released_total");
-  SendInBackground(context, handle.server, handle.address,
-                   context.backends.EncodeHandleRelease(handle));
+  SendRelease(context, handle.server, handle.address,
+              context.backends.EncodeHandleRelease(handle),
+              "mangoyoke_handles_released_total");
 }
 
 void ReleaseReservation(TrafficContext& context,
                         const KvReservation& reservation) {
-  context.metrics.Increment("mangoyoke_holds_released_total");
-  SendInBackground(context, reservation.server, reservation.address,
-                   context.backends.EncodeReservationRelease(reservation));
+  SendRelease(context, reservation.server, reservation.address,
+              context.backends.EncodeReservationRelease(reservation),
+              "mangoyoke_holds_released_total");
 }
 
 }  // namespace mangoyoke
--- a/src/gateway/traffic/traffic_context.h
+++ b/src/gateway/traffic/traffic_context.h
@@ -67,9 +67,11 @@
   uint64_t next_background_id = 1;
 };
 
-// Frees the prefill result behind `handle` without waiting for the response.
+// Frees the prefill result behind `handle` without waiting for the response,
+// unless its server is paused.
 void ReleaseHandle(TrafficContext& context, const PrefillHandle& handle);
-// Releases a KV reservation without waiting for the response.
+// Releases a KV reservation without waiting for the response, unless its server
+// is paused.
 void ReleaseReservation(TrafficContext& context,
                         const KvReservation& reservation);
 
--- a/tests/unit/unwilling_servers_test.cc
+++ b/tests/unit/unwilling_servers_test.cc
@@ -210,6 +210,31 @@
   EXPECT_EQ(paused.requests_received(), 1);
 }
 
+// The server says that it wants nothing while the prompt of a request that it
+// has reserved memory for is being read.
+TEST_F(UnwillingServersTest, PausedServerGetsNoReleaseOfAReservation) {
+  AddServer(ServerStage::kPrefill,
+            [this](const HttpRequest& request, auto responder) {
+              BackendResponse notice;
+              notice.pause = Seconds(2);
+              context_.notices.RecordResponse(servers_[1]->record(), notice,
+                                              "other", SteadyClock::now());
+              RespondWithKvHandle("k")(request, responder);
+            });
+  FakeServer& paused =
+      AddServer(ServerStage::kDecode,
+                RespondWith(http::status::ok, R"({"Hold":"r","TtlMs":1000})"));
+  service_.engine = EngineSpec{};
+  service_.engine->kv_tokens = 100'000;
+  service_.engine->max_reservation_ttl = Millis(1000);
+  service_.engine->handle_ttl = Millis(500);
+  StartGateway(RequestKind::kStreaming, false, 1);
+  EXPECT_TRUE(HasStatus(SendRequest(), 503));
+  std::this_thread::sleep_for(kPause);
+  EXPECT_EQ(paused.requests_received(), 1);
+  EXPECT_EQ(paused.releases_received(), 0);
+}
+
 // A storm of rejections by all servers: none gets more than one request within
 // the time that it named.
 TEST_F(UnwillingServersTest, StormOfRejectionsReachesEachServerOnce) {
