--- a/tests/unit/config_in_time_test.cc
+++ b/tests/unit/config_in_time_test.cc
@@ -107,6 +107,32 @@
   EXPECT_TRUE(Within(kRecoveryBound, zone.all(), kNew));
 }
 
+// The store turns away an instance that starts, and one of the readers that it
+// asks has been cut off from everybody since before the change.
+TEST_F(ConfigInTimeTest, ConfigIsOlderAfterAStartBesideAnOldReader) {
+  ServingZone& zone = StartZone();
+  std::vector<MemberRecord> members;
+  for (ServingInstance* instance : zone.all()) {
+    members.push_back(instance->record());
+  }
+  ServingInstance& old_reader = *zone.readers()[0];
+  old_reader.endpoint().SetUnavailable(true);
+  old_reader.state().SetMembers(old_reader.record().id, {old_reader.record()});
+  store_.AbandonPendingWatches();
+  RunUntil(io_, kRecoveryBound, [] { return false; });
+  PutConfig(store_, kNew);
+  ASSERT_TRUE(Within(kConfigBound, {zone.readers()[1]}, kNew));
+  ASSERT_EQ(old_reader.revision(), kOld);
+  ServingInstance started(io_, store_, kInstances);
+  started.endpoint().SetUnavailable(true);
+  started.state().SetMembers(started.record().id, members);
+  started.state().Start();
+  EXPECT_TRUE(Within(kRecoveryBound, {&started}, kNew));
+  Revision highest = started.revision();
+  RunUntil(io_, Seconds(1), [] { return false; });
+  EXPECT_GE(started.revision(), highest);
+}
+
 // After the store dropped its history, a full read may return old rows.
 TEST_F(ConfigInTimeTest, ConfigIsMissedAfterAnOldFullRead) {
   ServingZone& zone = StartZone();
