--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -29,6 +29,28 @@
 constexpr Duration kLingerTimeout = Millis(500);
 constexpr int kHttp10 = 10;
 
+std::string_view CloseReasonName(CloseReason reason) {
+  switch (reason) {
+    case CloseReason::kCallerLeft:
+      return "caller_left";
+    case CloseReason::kLastResponse:
+      return "last_response";
+    case CloseReason::kLingerTimeout:
+      return "linger_timeout";
+    case CloseReason::kIdleTimeout:
+      return "idle_timeout";
+    case CloseReason::kHeaderTimeout:
+      return "header_timeout";
+    case CloseReason::kBodyTimeout:
+      return "body_timeout";
+    case CloseReason::kStopping:
+      return "stopping";
+    case CloseReason::kResponseBroken:
+      return "response_broken";
+  }
+  return "unknown";
+}
+
 template <typename Message>
 std::string Serialize(const Message& message) {
   std::ostringstream out;
@@ -46,6 +68,20 @@
       listener_state_(std::move(state)),
       timer_(socket_.get_executor()) {}
 
+std::string_view HttpSession::StateName(State state) {
+  switch (state) {
+    case State::kIdle:
+      return "idle";
+    case State::kReading:
+      return "reading";
+    case State::kResponding:
+      return "responding";
+    case State::kLingering:
+      return "lingering";
+  }
+  return "unknown";
+}
+
 void HttpSession::Start() {
   PrepareSocket(socket_, kUnackedTimeout);
   NextRequest();
@@ -59,12 +95,13 @@
   parser_->body_limit(limits.body_bytes);
   state_ = State::kIdle;
   head_parsed_ = false;
+  request_bytes_ = 0;
   if (buffer_.size() > 0) {
     Parse();
     return;
   }
   if (listener_state_->stopped) {
-    Close();
+    Close(CloseReason::kStopping);
     return;
   }
   ArmTimer(limits.idle_timeout);
@@ -80,7 +117,7 @@
           return;
         }
         if (error) {
-          self->Close();
+          self->Close(CloseReason::kCallerLeft);
           return;
         }
         self->buffer_.commit(size);
@@ -98,6 +135,7 @@
     boost::system::error_code error;
     size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
+    request_bytes_ += used;
     if (error && error != http::error::need_more) {
       RejectRequest(error);
       return;
@@ -147,6 +185,7 @@
 
 void HttpSession::Dispatch() {
   state_ = State::kResponding;
+  ++requests_;
   timer_.cancel();
   HttpRequest request = parser_->release();
   keep_alive_ = request.keep_alive();
@@ -183,7 +222,7 @@
 
 void HttpSession::OnCallerDisconnected() {
   auto callback = std::exchange(on_disconnect_, nullptr);
-  Close();
+  Close(CloseReason::kCallerLeft);
   if (callback) {
     callback();
   }
@@ -247,7 +286,7 @@
 
 void HttpSession::Abort() {
   on_disconnect_ = nullptr;
-  Close();
+  Close(CloseReason::kResponseBroken);
 }
 
 void HttpSession::EndResponse() {
@@ -329,7 +368,7 @@
                               return;
                             }
                             if (error) {
-                              self->Close();
+                              self->Close(CloseReason::kLastResponse);
                               return;
                             }
                             self->Linger();
@@ -338,7 +377,7 @@
 
 void HttpSession::CloseIfIdle() {
   if (state_ == State::kIdle) {
-    Close();
+    Close(CloseReason::kStopping);
   }
 }
 
@@ -348,15 +387,49 @@
       [weak = weak_from_this()](const boost::system::error_code& error) {
         auto self = weak.lock();
         if (!error && self && self->state_ != State::kResponding) {
-          self->Close();
+          self->Close(self->TimeoutReason());
         }
       });
 }
 
-void HttpSession::Close() {
+CloseReason HttpSession::TimeoutReason() const {
+  switch (state_) {
+    case State::kReading:
+      return head_parsed_ ? CloseReason::kBodyTimeout
+                          : CloseReason::kHeaderTimeout;
+    case State::kLingering:
+      return CloseReason::kLingerTimeout;
+    default:
+      return CloseReason::kIdleTimeout;
+  }
+}
+
+size_t HttpSession::UnreadBytes() const {
+  boost::system::error_code error;
+  size_t bytes = socket_.available(error);
+  return error ? 0 : bytes;
+}
+
+void HttpSession::LogClose(CloseReason reason) const {
+  size_t unread_bytes = buffer_.size() + UnreadBytes();
+  bool nothing_lost = unread_bytes == 0 && state_ == State::kIdle;
+  if (nothing_lost || state_ == State::kLingering) {
+    return;
+  }
+  LogEvent("caller_connection_closed", LogLevel::kWarning)
+      .Field("why", CloseReasonName(reason))
+      .Field("state", StateName(state_))
+      .Field("requests", static_cast<int64_t>(requests_))
+      .Field("request_bytes", static_cast<int64_t>(request_bytes_))
+      .Field("unread_bytes", static_cast<int64_t>(unread_bytes))
+      .Field("unsent_bytes", static_cast<int64_t>(queued_bytes_));
+}
+
+void HttpSession::Close(CloseReason reason) {
   if (closed_) {
     return;
   }
+  LogClose(reason);
   closed_ = true;
   timer_.cancel();
   boost::system::error_code ignored;
--- a/src/gateway/net/http_session.h
+++ b/src/gateway/net/http_session.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "gateway/net/http_listener.h"
 
@@ -22,6 +23,18 @@
   bool stopped = false;   // Idle connections are closed.
 };
 
+// Why a caller's connection was closed.
+enum class CloseReason {
+  kCallerLeft,      // The caller closed its side, or the connection failed.
+  kLastResponse,    // The response that announced it was written.
+  kLingerTimeout,   // The same, and the caller did not close its side in time.
+  kIdleTimeout,     // No request arrived in time.
+  kHeaderTimeout,   // The header did not arrive in time.
+  kBodyTimeout,     // The body did not arrive in time.
+  kStopping,        // The instance is stopping and the connection was idle.
+  kResponseBroken,  // The response cannot be completed.
+};
+
 // Keeps itself alive while an operation on its socket is in progress. The
 // methods of HttpResponder apply to the current request.
 class HttpSession : public HttpResponder,
@@ -50,6 +63,7 @@
   // kLingering: the last response is written; incoming bytes are discarded
   // until the caller closes the connection or a timeout expires.
   enum class State { kIdle, kReading, kResponding, kLingering };
+  static std::string_view StateName(State state);
 
   void NextRequest();
   void ReadMore();
@@ -65,7 +79,14 @@
   void EndResponse();
   void Linger();
   void ArmTimer(Duration timeout);
-  void Close();
+  // Closes the connection. Logs it if bytes of a request are lost, or if a
+  // request ends without a complete response.
+  void Close(CloseReason reason);
+  void LogClose(CloseReason reason) const;
+  // Why the connection closes if the timer expires now.
+  CloseReason TimeoutReason() const;
+  // Bytes that arrived and were not read from the socket yet.
+  size_t UnreadBytes() const;
 
   Tcp::socket socket_;
   RequestHandler& handler_;
@@ -75,6 +96,8 @@
   std::optional<Parser> parser_;
   State state_ = State::kIdle;
   bool head_parsed_ = false;
+  uint64_t requests_ = 0;         // Requests read whole on this connection.
+  size_t request_bytes_ = 0;      // Bytes read of the request in parser_.
   bool keep_alive_ = true;        // Stay open after the response.
   bool is_head_request_ = false;  // HEAD request: the response has no body.
   bool chunked_ = false;          // Streamed responses use chunked encoding.
