Arm the idle timeout anew while a body arrives

Callers saw: a request with a body that took longer in all than the idle limit was cut without a response, though its bytes kept coming; after a change of the configuration that lowers the limit, ordinary uploads too. Cause: the timeout was armed once, when the header was complete. Evidence: SlowBodyIsNotCutWhileItsBytesArrive received nothing before (six bytes 100 ms apart, limit 300 ms) and the response now. The limit is a limit for silence, so each part of the body arms it anew; the header keeps its one deadline.

--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -154,14 +154,16 @@
   }
   if (parser_->is_done()) {
     Dispatch();
-  } else {
-    ReadMore();
+    return;
   }
+  if (head_parsed_) {
+    ArmTimer(handler_.Limits().idle_timeout);
+  }
+  ReadMore();
 }
 
 void HttpSession::OnHeadParsed() {
   head_parsed_ = true;
-  ArmTimer(handler_.Limits().idle_timeout);
   const auto& head = parser_->get();
   auto expect = head.find(http::field::expect);
   if (expect != head.end() && !parser_->is_done()) {
