Reject a request that does not arrive whole in time

Callers saw: a connection that closed without a response while they were sending a request; they could not know that it had not run. Cause: the header and body timeouts closed the socket. Evidence: RequestThatStopsArrivingIsRejected received nothing before, 408 now, for a header and for a body that stop. 408 promises that the request was not executed, which holds, as only whole requests are passed on. The read in progress stays the only one on the socket: what it brings after the rejection is discarded.

--- a/include/mangoyoke/error.h
+++ b/include/mangoyoke/error.h
@@ -37,6 +37,7 @@
   kBadDeadline = 108,       // The deadline header is not in range.
   kKeyReused = 109,         // The key was used before for another request.
   kHeaderTooLarge = 110,    // The header exceeds the configured limit.
+  kRequestTimeout = 111,    // The request did not arrive whole in time.
 
   // 2xx: refused before execution; may be retried after the given time.
   kNotReady = 200,           // The instance has no plan yet.
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -32,6 +32,8 @@
               "the Idempotency-Key belongs to a different request"},
     ErrorInfo{ErrorCode::kHeaderTooLarge, "header_too_large", 431, kNotExecuted,
               "the header exceeds the configured limit"},
+    ErrorInfo{ErrorCode::kRequestTimeout, "request_timeout", 408, kNotExecuted,
+              "the request did not arrive whole in time"},
     ErrorInfo{ErrorCode::kNotReady, "not_ready", 503, kNotExecuted,
               "the instance has no plan yet"},
     ErrorInfo{ErrorCode::kLeaving, "leaving", 503, kNotExecuted,
--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -109,22 +109,38 @@
 }
 
 void HttpSession::ReadMore() {
+  reading_ = true;
   socket_.async_read_some(
       buffer_.prepare(kReadBytes),
       [self = shared_from_this()](const boost::system::error_code& error,
                                   size_t size) {
-        if (self->closed_) {
-          return;
-        }
-        if (error) {
-          self->Close(CloseReason::kCallerLeft);
-          return;
+        self->reading_ = false;
+        if (!self->closed_) {
+          self->OnRead(error, size);
         }
-        self->buffer_.commit(size);
-        self->Parse();
       });
 }
 
+void HttpSession::OnRead(const boost::system::error_code& error, size_t size) {
+  if (state_ == State::kResponding) {
+    return;  // The request timed out meanwhile and was rejected.
+  }
+  if (state_ == State::kLingering) {
+    if (error) {
+      Close(CloseReason::kLastResponse);
+    } else {
+      Linger();
+    }
+    return;
+  }
+  if (error) {
+    Close(CloseReason::kCallerLeft);
+    return;
+  }
+  buffer_.commit(size);
+  Parse();
+}
+
 void HttpSession::Parse() {
   if (state_ == State::kIdle) {
     state_ = State::kReading;
@@ -180,9 +196,22 @@
   }
   LogEvent("request_malformed", LogLevel::kWarning)
       .Field("why", error.message());
+  RejectRequest(Error{code, error.message()});
+}
+
+void HttpSession::RejectRequest(const Error& error) {
   keep_alive_ = false;
   state_ = State::kResponding;
-  Reply(handler_.MakeParseErrorResponse(Error{code, error.message()}));
+  Reply(handler_.MakeParseErrorResponse(error));
+}
+
+void HttpSession::RejectIncompleteRequest() {
+  LogEvent("request_timeout", LogLevel::kWarning)
+      .Field("why", CloseReasonName(TimeoutReason()))
+      .Field("requests", static_cast<int64_t>(requests_))
+      .Field("request_bytes", static_cast<int64_t>(request_bytes_));
+  RejectRequest(
+      Error{ErrorCode::kRequestTimeout, "the request did not arrive in time"});
 }
 
 void HttpSession::Dispatch() {
@@ -362,19 +391,10 @@
 }
 
 void HttpSession::Linger() {
-  buffer_.clear();
-  socket_.async_read_some(buffer_.prepare(kReadBytes),
-                          [self = shared_from_this()](
-                              const boost::system::error_code& error, size_t) {
-                            if (self->closed_) {
-                              return;
-                            }
-                            if (error) {
-                              self->Close(CloseReason::kLastResponse);
-                              return;
-                            }
-                            self->Linger();
-                          });
+  if (!reading_) {
+    buffer_.clear();
+    ReadMore();
+  }
 }
 
 void HttpSession::CloseIfIdle() {
@@ -388,12 +408,26 @@
   timer_.async_wait(
       [weak = weak_from_this()](const boost::system::error_code& error) {
         auto self = weak.lock();
-        if (!error && self && self->state_ != State::kResponding) {
-          self->Close(self->TimeoutReason());
+        if (!error && self && !self->closed_) {
+          self->OnTimeout();
         }
       });
 }
 
+void HttpSession::OnTimeout() {
+  switch (state_) {
+    case State::kReading:
+      RejectIncompleteRequest();
+      return;
+    case State::kIdle:
+    case State::kLingering:
+      Close(TimeoutReason());
+      return;
+    case State::kResponding:
+      return;
+  }
+}
+
 CloseReason HttpSession::TimeoutReason() const {
   switch (state_) {
     case State::kReading:
--- a/src/gateway/net/http_session.h
+++ b/src/gateway/net/http_session.h
@@ -67,10 +67,14 @@
 
   void NextRequest();
   void ReadMore();
+  void OnRead(const boost::system::error_code& error, size_t size);
   void Parse();
   void OnHeadParsed();
   void Dispatch();
   void RejectRequest(const boost::system::error_code& error);
+  void RejectRequest(const Error& error);
+  // The request did not arrive whole in time.
+  void RejectIncompleteRequest();
   void WatchForDisconnect();
   void OnCallerDisconnected();
   void Enqueue(std::string data);
@@ -79,6 +83,7 @@
   void EndResponse();
   void Linger();
   void ArmTimer(Duration timeout);
+  void OnTimeout();
   // Closes the connection. Logs it if bytes of a request are lost, or if a
   // request ends without a complete response.
   void Close(CloseReason reason);
@@ -102,6 +107,7 @@
   bool is_head_request_ = false;  // HEAD request: the response has no body.
   bool chunked_ = false;          // Streamed responses use chunked encoding.
   bool response_ended_ = false;   // The complete response is in the queue.
+  bool reading_ = false;          // A read into buffer_ is in progress.
   bool watching_disconnect_ = false;
   bool closed_ = false;
   bool backpressure_ = false;
