Read what arrived before a timeout closes a caller's connection

Callers saw: a request on a kept connection was reset although it had arrived in time, when the traffic thread was busy past the idle timeout (a large configuration taken over, a frozen or slow instance). Cause: expired timers ran beside pending reads and closed the socket whatever it held; and a callback that was queued already ran after its timer had been armed anew. Evidence: ExpiredIdleTimerDoesNotCutARequestThatArrived received nothing before (the thread is held for 250 ms, limit 150 ms) and the response now. The callback does nothing if its timer was armed anew, and while the socket holds unread bytes it only leaves time to read them.

--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -27,6 +27,8 @@
 // Closing a socket with unread bytes resets the connection, and the caller
 // could lose the response.
 constexpr Duration kLingerTimeout = Millis(500);
+// Time to read bytes that had arrived when a timeout expired.
+constexpr Duration kUnreadGrace = Millis(50);
 constexpr int kHttp10 = 10;
 
 std::string_view CloseReasonName(CloseReason reason) {
@@ -415,6 +417,14 @@
 }
 
 void HttpSession::OnTimeout() {
+  if (timer_.expiry() > SteadyClock::now()) {
+    return;  // Armed anew while this callback was queued.
+  }
+  bool reads_request = state_ == State::kIdle || state_ == State::kReading;
+  if (reads_request && UnreadBytes() > 0) {
+    ArmTimer(kUnreadGrace);
+    return;
+  }
   switch (state_) {
     case State::kReading:
       RejectIncompleteRequest();
