Answer a request that arrived before a stop closes its connection

Callers saw: at the end of a drain notice, a request on a kept connection was reset; the reset could destroy a response on its way, too. Cause: stopping closed every connection without a request in progress, also those whose next request lay in the socket. Evidence: RequestThatArrivedIsAnsweredWhenTheListenerStops received a reset before, 200 with 'Connection: close' now. A connection with unread bytes stays open; its request is read, answered, and the connection closed with that response.

--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -102,12 +102,11 @@
     Parse();
     return;
   }
-  if (listener_state_->stopped) {
-    Close(CloseReason::kStopping);
-    return;
-  }
   ArmTimer(limits.idle_timeout);
   ReadMore();
+  if (listener_state_->stopped) {
+    CloseIfIdle();
+  }
 }
 
 void HttpSession::ReadMore() {
@@ -400,7 +399,7 @@
 }
 
 void HttpSession::CloseIfIdle() {
-  if (state_ == State::kIdle) {
+  if (state_ == State::kIdle && UnreadBytes() == 0) {
     Close(CloseReason::kStopping);
   }
 }
--- a/src/gateway/net/http_session.h
+++ b/src/gateway/net/http_session.h
@@ -46,7 +46,8 @@
 
   // Starts reading requests.
   void Start();
-  // Closes the connection if no request is being read or responded to.
+  // Closes the connection if no request is being read or responded to, and none
+  // has arrived in the socket.
   void CloseIfIdle();
   bool closed() const { return closed_; }
 
