Notice a caller that leaves behind a second request

Callers saw nothing; backend servers worked on for callers that had left: a caller that sends the next request ahead and then closes was not noticed until the response was written. Cause: the watch for the caller's disconnect peeked at one byte and was not armed again when there was one. There is now one wait on the socket for all states, and bytes are read when it ends: up to 8 KiB of the next requests are read ahead, so that the end behind them is seen. It also leaves every byte in the socket until it is handled; an asynchronous read may have taken bytes whose handler has not run yet, which the check before a close cannot see.

--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -2,8 +2,6 @@
 
 #include "gateway/net/http_session.h"
 
-#include <sys/socket.h>
-
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -86,6 +84,12 @@
 
 void HttpSession::Start() {
   PrepareSocket(socket_, kUnackedTimeout);
+  boost::system::error_code error;
+  socket_.non_blocking(true, error);
+  if (error) {
+    Close(CloseReason::kCallerLeft);
+    return;
+  }
   NextRequest();
 }
 
@@ -103,43 +107,55 @@
     return;
   }
   ArmTimer(limits.idle_timeout);
-  ReadMore();
+  WaitForBytes();
   if (listener_state_->stopped) {
     CloseIfIdle();
   }
 }
 
-void HttpSession::ReadMore() {
-  reading_ = true;
-  socket_.async_read_some(
-      buffer_.prepare(kReadBytes),
-      [self = shared_from_this()](const boost::system::error_code& error,
-                                  size_t size) {
-        self->reading_ = false;
-        if (!self->closed_) {
-          self->OnRead(error, size);
-        }
-      });
+void HttpSession::WaitForBytes() {
+  if (waiting_ || closed_) {
+    return;
+  }
+  waiting_ = true;
+  socket_.async_wait(Tcp::socket::wait_read,
+                     [self = shared_from_this()](
+                         const boost::system::error_code& /*see OnReadable*/) {
+                       self->waiting_ = false;
+                       if (!self->closed_) {
+                         self->OnReadable();
+                       }
+                     });
 }
 
-void HttpSession::OnRead(const boost::system::error_code& error, size_t size) {
-  if (state_ == State::kResponding) {
-    return;  // The request timed out meanwhile and was rejected.
-  }
+void HttpSession::OnReadable() {
   if (state_ == State::kLingering) {
-    if (error) {
-      Close(CloseReason::kLastResponse);
-    } else {
-      Linger();
-    }
-    return;
+    buffer_.clear();
+  } else if (state_ == State::kResponding && buffer_.size() >= kReadBytes) {
+    return;  // Enough of the next requests; the rest waits for the response.
   }
-  if (error) {
-    Close(CloseReason::kCallerLeft);
+  boost::system::error_code error;
+  size_t size = socket_.read_some(buffer_.prepare(kReadBytes), error);
+  if (error && error != boost::asio::error::would_block) {
+    OnReadEnd();
     return;
   }
   buffer_.commit(size);
-  Parse();
+  bool reads_request = state_ == State::kIdle || state_ == State::kReading;
+  if (reads_request && size > 0) {
+    Parse();
+  } else {
+    WaitForBytes();
+  }
+}
+
+void HttpSession::OnReadEnd() {
+  if (state_ == State::kResponding) {
+    OnCallerDisconnected();
+    return;
+  }
+  Close(state_ == State::kLingering ? CloseReason::kLastResponse
+                                    : CloseReason::kCallerLeft);
 }
 
 void HttpSession::Parse() {
@@ -176,7 +192,7 @@
   if (head_parsed_) {
     ArmTimer(handler_.Limits().idle_timeout);
   }
-  ReadMore();
+  WaitForBytes();
 }
 
 void HttpSession::OnHeadParsed() {
@@ -224,34 +240,10 @@
   is_head_request_ = request.method() == http::verb::head;
   chunked_ = request.version() > kHttp10;
   response_ended_ = false;
-  if (buffer_.size() == 0) {
-    WatchForDisconnect();
-  }
+  WaitForBytes();  // For the caller's disconnect.
   handler_.OnRequest(std::move(request), shared_from_this());
 }
 
-void HttpSession::WatchForDisconnect() {
-  if (watching_disconnect_) {
-    return;
-  }
-  watching_disconnect_ = true;
-  socket_.async_wait(
-      Tcp::socket::wait_read,
-      [self = shared_from_this()](const boost::system::error_code& error) {
-        self->watching_disconnect_ = false;
-        if (self->closed_ || self->state_ != State::kResponding) {
-          return;
-        }
-        char byte = 0;
-        ssize_t peeked = error ? 0
-                               : recv(self->socket_.native_handle(), &byte, 1,
-                                      MSG_PEEK | MSG_DONTWAIT);
-        if (peeked == 0 || (peeked < 0 && errno != EAGAIN && errno != EINTR)) {
-          self->OnCallerDisconnected();
-        }
-      });
-}
-
 void HttpSession::OnCallerDisconnected() {
   auto callback = std::exchange(on_disconnect_, nullptr);
   Close(CloseReason::kCallerLeft);
@@ -388,14 +380,7 @@
   socket_.shutdown(Tcp::socket::shutdown_send, ignored);
   state_ = State::kLingering;
   ArmTimer(kLingerTimeout);
-  Linger();
-}
-
-void HttpSession::Linger() {
-  if (!reading_) {
-    buffer_.clear();
-    ReadMore();
-  }
+  WaitForBytes();
 }
 
 void HttpSession::CloseIfIdle() {
--- a/src/gateway/net/http_session.h
+++ b/src/gateway/net/http_session.h
@@ -67,8 +67,12 @@
   static std::string_view StateName(State state);
 
   void NextRequest();
-  void ReadMore();
-  void OnRead(const boost::system::error_code& error, size_t size);
+  // Waits until the socket is readable. Bytes stay in the socket until they are
+  // handled, so that UnreadBytes sees them; and no buffer is in use meanwhile.
+  void WaitForBytes();
+  void OnReadable();
+  // The caller closed its side, or the connection failed.
+  void OnReadEnd();
   void Parse();
   void OnHeadParsed();
   void Dispatch();
@@ -76,13 +80,11 @@
   void RejectRequest(const Error& error);
   // The request did not arrive whole in time.
   void RejectIncompleteRequest();
-  void WatchForDisconnect();
   void OnCallerDisconnected();
   void Enqueue(std::string data);
   void WriteNext();
   void OnResponseWritten();
   void EndResponse();
-  void Linger();
   void ArmTimer(Duration timeout);
   void OnTimeout();
   // Closes the connection. Logs it if bytes of a request are lost, or if a
@@ -108,8 +110,7 @@
   bool is_head_request_ = false;  // HEAD request: the response has no body.
   bool chunked_ = false;          // Streamed responses use chunked encoding.
   bool response_ended_ = false;   // The complete response is in the queue.
-  bool reading_ = false;          // A read into buffer_ is in progress.
-  bool watching_disconnect_ = false;
+  bool waiting_ = false;          // A wait for bytes is in progress.
   bool closed_ = false;
   bool backpressure_ = false;
   std::deque<std::string> write_queue_;  // The front is being written.
