Serve the connections in the backlog when a listener stops

Callers saw: a connection that had been established was reset with the request on it, when an instance ended its drain notice. Cause: closing the acceptor resets connections that the kernel completed and nobody accepted; the accept callback dropped a socket that it had, if the listener had been stopped meanwhile. Evidence: ConnectionInTheBacklogIsServedWhenStopping received a reset before, 200 now. Before the acceptor closes, everything in the backlog becomes a session; those with a request answer it, the others close at once.

--- a/src/gateway/net/http_listener.cc
+++ b/src/gateway/net/http_listener.cc
@@ -59,6 +59,7 @@
   void Stop() {
     state_->draining = true;
     state_->stopped = true;
+    AcceptBacklog();
     boost::system::error_code ignored;
     acceptor_.close(ignored);
     accept_retry_timer_.cancel();
@@ -75,6 +76,9 @@
         [self = shared_from_this()](const boost::system::error_code& error,
                                     Tcp::socket socket) {
           if (self->state_->stopped) {
+            if (!error) {
+              self->StartSession(std::move(socket));
+            }
             return;
           }
           if (error) {
@@ -83,14 +87,39 @@
             self->RetryAcceptLater();
             return;
           }
-          auto session = std::make_shared<HttpSession>(
-              std::move(socket), self->handler_, self->state_);
-          self->TrackSession(session);
-          session->Start();
+          self->StartSession(std::move(socket));
           self->Accept();
         });
   }
 
+  void StartSession(Tcp::socket socket) {
+    auto session =
+        std::make_shared<HttpSession>(std::move(socket), handler_, state_);
+    TrackSession(session);
+    session->Start();
+  }
+
+  // Takes the connections that the kernel has established already: closing the
+  // acceptor would reset them, with the requests on them.
+  void AcceptBacklog() {
+    if (!acceptor_.is_open()) {
+      return;
+    }
+    boost::system::error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+      Tcp::socket socket(acceptor_.get_executor());
+      acceptor_.accept(socket, error);
+      if (!error) {
+        StartSession(std::move(socket));
+      }
+    }
+    if (error != boost::asio::error::would_block) {
+      LogEvent("accept_failed", LogLevel::kWarning)
+          .Field("why", error.message());
+    }
+  }
+
   void RetryAcceptLater() {
     accept_retry_timer_.expires_after(kAcceptRetryDelay);
     accept_retry_timer_.async_wait(
