Keep a caller's connection for the idle limit under which it was opened

Callers saw: beside a change of the configuration that lowers the idle limit, a request on a kept connection got neither a response nor an error: the instance had closed the connection under the new limit, while the caller kept it for the old one. Cause: each rest of a connection was timed by the limit of the newest configuration, which a caller cannot know yet. Evidence: LoweredIdleLimitDoesNotCutKeptConnections (limit 1 s, lowered to 100 ms, next request after 400 ms) received nothing before, and the response now. The longest limit that was in force while the connection was open holds for it; new connections get the new limit.

--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -2,6 +2,7 @@
 
 #include "gateway/net/http_session.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -106,7 +107,7 @@
     Parse();
     return;
   }
-  ArmTimer(limits.idle_timeout);
+  ArmTimer(IdleTimeout());
   WaitForBytes();
   if (listener_state_->stopped) {
     CloseIfIdle();
@@ -190,7 +191,7 @@
     return;
   }
   if (head_parsed_) {
-    ArmTimer(handler_.Limits().idle_timeout);
+    ArmTimer(IdleTimeout());
   }
   WaitForBytes();
 }
@@ -383,6 +384,12 @@
   WaitForBytes();
 }
 
+Duration HttpSession::IdleTimeout() {
+  longest_idle_timeout_ =
+      std::max<Duration>(longest_idle_timeout_, handler_.Limits().idle_timeout);
+  return longest_idle_timeout_;
+}
+
 void HttpSession::CloseIfIdle() {
   if (state_ == State::kIdle && UnreadBytes() == 0) {
     Close(CloseReason::kStopping);
--- a/src/gateway/net/http_session.h
+++ b/src/gateway/net/http_session.h
@@ -85,6 +85,9 @@
   void WriteNext();
   void OnResponseWritten();
   void EndResponse();
+  // The idle timeout that holds for this connection: the longest that was in
+  // force while it was open, since its caller may know no other one.
+  Duration IdleTimeout();
   void ArmTimer(Duration timeout);
   void OnTimeout();
   // Closes the connection. Logs it if bytes of a request are lost, or if a
@@ -103,6 +106,7 @@
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   State state_ = State::kIdle;
+  Duration longest_idle_timeout_{};
   bool head_parsed_ = false;
   uint64_t requests_ = 0;         // Requests read whole on this connection.
   size_t request_bytes_ = 0;      // Bytes read of the request in parser_.
