Let resting connections use an idle limit that was raised

Callers saw: after a change of the configuration that raises the idle limit, a request on a kept connection crossed the close of an instance that still timed the connection by the old limit. Cause: a session kept the timeout of the configuration under which its rest began. Evidence: RaisedIdleLimitHoldsForConnectionsThatRest (150 ms, raised to 2 s, next request after 400 ms) received nothing before, and the response now. When the timer expires, the limit in force decides.

--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -107,6 +107,7 @@
     Parse();
     return;
   }
+  idle_since_ = SteadyClock::now();
   ArmTimer(IdleTimeout());
   WaitForBytes();
   if (listener_state_->stopped) {
@@ -384,6 +385,15 @@
   WaitForBytes();
 }
 
+void HttpSession::CloseIfIdleTooLong() {
+  Duration left = idle_since_ + IdleTimeout() - SteadyClock::now();
+  if (left > Duration::zero()) {
+    ArmTimer(left);  // The limit was raised meanwhile.
+    return;
+  }
+  Close(CloseReason::kIdleTimeout);
+}
+
 Duration HttpSession::IdleTimeout() {
   longest_idle_timeout_ =
       std::max<Duration>(longest_idle_timeout_, handler_.Limits().idle_timeout);
@@ -421,6 +431,8 @@
       RejectIncompleteRequest();
       return;
     case State::kIdle:
+      CloseIfIdleTooLong();
+      return;
     case State::kLingering:
       Close(TimeoutReason());
       return;
--- a/src/gateway/net/http_session.h
+++ b/src/gateway/net/http_session.h
@@ -90,6 +90,8 @@
   Duration IdleTimeout();
   void ArmTimer(Duration timeout);
   void OnTimeout();
+  // Closes the connection, unless a limit that was raised allows it to rest on.
+  void CloseIfIdleTooLong();
   // Closes the connection. Logs it if bytes of a request are lost, or if a
   // request ends without a complete response.
   void Close(CloseReason reason);
@@ -107,6 +109,7 @@
   std::optional<Parser> parser_;
   State state_ = State::kIdle;
   Duration longest_idle_timeout_{};
+  TimePoint idle_since_{};  // Of the current or last rest.
   bool head_parsed_ = false;
   uint64_t requests_ = 0;         // Requests read whole on this connection.
   size_t request_bytes_ = 0;      // Bytes read of the request in parser_.
