Wait at a planned stop for requests that are being read

Callers saw: around a planned stop, a connection ended without a response although the request on it was still arriving, or its response was not yet written. Cause: the process ended when no request was active, which counts from the moment at which a request was read whole until its response is queued. Connections on which a request is being read or answered keep the process running too, up to the drain timeout; the line 'drained' counts them.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -112,7 +112,7 @@
           control_.StartDraining();
           boost::asio::post(traffic_io_, [this] { traffic_.StartDraining(); });
           drain_started_ = SteadyClock::now();
-          PollActiveRequests();
+          PollOpenWork();
         });
   }
 
@@ -155,9 +155,9 @@
     metrics_.Increment("mangoyoke_reloads_total", "outcome", "done");
   }
 
-  // Polls the number of active requests. The process stops once there are none
-  // and the drain notice has elapsed.
-  void PollActiveRequests() {
+  // Polls what is still open. The process stops once nothing is and the drain
+  // notice has elapsed.
+  void PollOpenWork() {
     drain_timer_.expires_after(kDrainPollInterval);
     drain_timer_.async_wait([this](const boost::system::error_code& error) {
       if (error) {
@@ -169,25 +169,26 @@
         if (notice_elapsed) {
           traffic_.Stop();
         }
-        size_t active_requests = traffic_.active_requests();
-        boost::asio::post(control_io_, [this, active_requests, notice_elapsed] {
-          StopIfDrained(active_requests, notice_elapsed);
+        OpenWork open = traffic_.open_work();
+        boost::asio::post(control_io_, [this, open, notice_elapsed] {
+          StopIfDrained(open, notice_elapsed);
         });
       });
     });
   }
 
-  void StopIfDrained(size_t active_requests, bool notice_elapsed) {
+  void StopIfDrained(const OpenWork& open, bool notice_elapsed) {
     Duration waited = SteadyClock::now() - drain_started_;
     bool timed_out = waited >= settings_.drain_timeout - kKillMargin;
-    if ((notice_elapsed && active_requests == 0) || timed_out) {
+    if ((notice_elapsed && open.None()) || timed_out) {
       LogEvent("drained")
-          .Field("open", static_cast<int64_t>(active_requests))
+          .Field("open", static_cast<int64_t>(open.requests))
+          .Field("connections", static_cast<int64_t>(open.connections))
           .Field("waited_ms", ToMillis(waited));
       stopped_.set_value();
       return;
     }
-    PollActiveRequests();
+    PollOpenWork();
   }
 
   GatewaySettings settings_;
--- a/src/gateway/net/http_listener.cc
+++ b/src/gateway/net/http_listener.cc
@@ -70,6 +70,14 @@
     }
   }
 
+  size_t busy_connections() const {
+    return static_cast<size_t>(
+        std::count_if(sessions_.begin(), sessions_.end(), [](const auto& weak) {
+          auto session = weak.lock();
+          return session && session->busy();
+        }));
+  }
+
  private:
   void Accept() {
     acceptor_.async_accept(
@@ -163,4 +171,8 @@
   impl_->Stop();
 }
 
+size_t HttpListener::busy_connections() const {
+  return impl_->busy_connections();
+}
+
 }  // namespace mangoyoke
--- a/src/gateway/net/http_listener.h
+++ b/src/gateway/net/http_listener.h
@@ -71,6 +71,9 @@
   void StartDraining();
   // Accepts no new connections and closes idle ones.
   void Stop();
+  // Number of connections that are not idle: a request is being read or
+  // responded to, or a response may not have reached its caller yet.
+  size_t busy_connections() const;
 
  private:
   class Impl;
--- a/src/gateway/net/http_session.h
+++ b/src/gateway/net/http_session.h
@@ -49,7 +49,9 @@
   // Closes the connection if no request is being read or responded to, and none
   // has arrived in the socket.
   void CloseIfIdle();
-  bool closed() const { return closed_; }
+  // Whether a request is being read or responded to, or the last response may
+  // not have reached the caller yet.
+  bool busy() const { return !closed_ && state_ != State::kIdle; }
 
   void Reply(HttpResponse response) override;
   void BeginStream(http::response_header<> head) override;
--- a/src/gateway/traffic/gateway_traffic.h
+++ b/src/gateway/traffic/gateway_traffic.h
@@ -21,6 +21,16 @@
 namespace mangoyoke {
 
 // Used on the traffic thread only.
+// What a process that stops has to wait for.
+struct OpenWork {
+  size_t requests = 0;  // Active requests.
+  // Callers' connections on which a request is being read or responded to.
+  size_t connections = 0;
+
+  bool None() const { return requests == 0 && connections == 0; }
+  bool operator==(const OpenWork&) const = default;
+};
+
 class GatewayTraffic {
  public:
   // `settings` must outlive the object.
@@ -43,8 +53,9 @@
   void StartDraining() { listener_.StartDraining(); }
   // Accepts no new connections and closes idle ones.
   void Stop() { listener_.Stop(); }
-  // Number of active requests.
-  size_t active_requests() const { return router_.active_requests(); }
+  OpenWork open_work() const {
+    return OpenWork{router_.active_requests(), listener_.busy_connections()};
+  }
 
  private:
   // Closes pooled connections that are expired or lead to removed servers.
--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -317,6 +317,26 @@
   EXPECT_EQ(Kill(0, SIGTERM), 0);
 }
 
+TEST_F(GatewayTest, PlannedStopWaitsForARequestThatIsBeingRead) {
+  constexpr Millis kPastTheDrainNotice{3500};
+  WaitForAll();
+  boost::asio::io_context io;
+  Tcp::socket socket(io);
+  socket.connect(Tcp::endpoint(boost::asio::ip::address_v4::loopback(),
+                               PortOf(0, kCallers)));
+  std::string head =
+      "POST /old/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab";
+  boost::asio::write(socket, boost::asio::buffer(head));
+  kill(pids_[0], SIGTERM);
+  std::this_thread::sleep_for(kPastTheDrainNotice);
+  boost::system::error_code error;
+  boost::asio::write(socket, boost::asio::buffer("cd", 2), error);
+  std::string response;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(response), error);
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 200")) << response;
+  EXPECT_EQ(Kill(0, SIGTERM), 0);
+}
+
 TEST_F(GatewayTest, ReloadCutsNothingAndTakesTheNewStoreAddress) {
   WaitForAll();
   std::string response;
