--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -2,8 +2,7 @@
 
 #include "gateway/net/http_session.h"
 
-#include <sys/socket.h>
-
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -27,8 +26,32 @@
 // Closing a socket with unread bytes resets the connection, and the caller
 // could lose the response.
 constexpr Duration kLingerTimeout = Millis(500);
+// Time to read bytes that had arrived when a timeout expired.
+constexpr Duration kUnreadGrace = Millis(50);
 constexpr int kHttp10 = 10;
 
+std::string_view CloseReasonName(CloseReason reason) {
+  switch (reason) {
+    case CloseReason::kCallerLeft:
+      return "caller_left";
+    case CloseReason::kLastResponse:
+      return "last_response";
+    case CloseReason::kLingerTimeout:
+      return "linger_timeout";
+    case CloseReason::kIdleTimeout:
+      return "idle_timeout";
+    case CloseReason::kHeaderTimeout:
+      return "header_timeout";
+    case CloseReason::kBodyTimeout:
+      return "body_timeout";
+    case CloseReason::kStopping:
+      return "stopping";
+    case CloseReason::kResponseBroken:
+      return "response_broken";
+  }
+  return "unknown";
+}
+
 template <typename Message>
 std::string Serialize(const Message& message) {
   std::ostringstream out;
@@ -46,8 +69,28 @@
       listener_state_(std::move(state)),
       timer_(socket_.get_executor()) {}
 
+std::string_view HttpSession::StateName(State state) {
+  switch (state) {
+    case State::kIdle:
+      return "idle";
+    case State::kReading:
+      return "reading";
+    case State::kResponding:
+      return "responding";
+    case State::kLingering:
+      return "lingering";
+  }
+  return "unknown";
+}
+
 void HttpSession::Start() {
   PrepareSocket(socket_, kUnackedTimeout);
+  boost::system::error_code error;
+  socket_.non_blocking(true, error);
+  if (error) {
+    Close(CloseReason::kCallerLeft);
+    return;
+  }
   NextRequest();
 }
 
@@ -59,33 +102,62 @@
   parser_->body_limit(limits.body_bytes);
   state_ = State::kIdle;
   head_parsed_ = false;
+  request_bytes_ = 0;
   if (buffer_.size() > 0) {
     Parse();
     return;
   }
+  idle_since_ = SteadyClock::now();
+  ArmTimer(IdleTimeout());
+  WaitForBytes();
   if (listener_state_->stopped) {
-    Close();
+    CloseIfIdle();
+  }
+}
+
+void HttpSession::WaitForBytes() {
+  if (waiting_ || closed_) {
     return;
   }
-  ArmTimer(limits.idle_timeout);
-  ReadMore();
+  waiting_ = true;
+  socket_.async_wait(Tcp::socket::wait_read,
+                     [self = shared_from_this()](
+                         const boost::system::error_code& /*see OnReadable*/) {
+                       self->waiting_ = false;
+                       if (!self->closed_) {
+                         self->OnReadable();
+                       }
+                     });
 }
 
-void HttpSession::ReadMore() {
-  socket_.async_read_some(
-      buffer_.prepare(kReadBytes),
-      [self = shared_from_this()](const boost::system::error_code& error,
-                                  size_t size) {
-        if (self->closed_) {
-          return;
-        }
-        if (error) {
-          self->Close();
-          return;
-        }
-        self->buffer_.commit(size);
-        self->Parse();
-      });
+void HttpSession::OnReadable() {
+  if (state_ == State::kLingering) {
+    buffer_.clear();
+  } else if (state_ == State::kResponding && buffer_.size() >= kReadBytes) {
+    return;  // Enough of the next requests; the rest waits for the response.
+  }
+  boost::system::error_code error;
+  size_t size = socket_.read_some(buffer_.prepare(kReadBytes), error);
+  if (error && error != boost::asio::error::would_block) {
+    OnReadEnd();
+    return;
+  }
+  buffer_.commit(size);
+  bool reads_request = state_ == State::kIdle || state_ == State::kReading;
+  if (reads_request && size > 0) {
+    Parse();
+  } else {
+    WaitForBytes();
+  }
+}
+
+void HttpSession::OnReadEnd() {
+  if (state_ == State::kResponding) {
+    OnCallerDisconnected();
+    return;
+  }
+  Close(state_ == State::kLingering ? CloseReason::kLastResponse
+                                    : CloseReason::kCallerLeft);
 }
 
 void HttpSession::Parse() {
@@ -98,6 +170,7 @@
     boost::system::error_code error;
     size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
+    request_bytes_ += used;
     if (error && error != http::error::need_more) {
       RejectRequest(error);
       return;
@@ -116,14 +189,16 @@
   }
   if (parser_->is_done()) {
     Dispatch();
-  } else {
-    ReadMore();
+    return;
   }
+  if (head_parsed_) {
+    ArmTimer(IdleTimeout());
+  }
+  WaitForBytes();
 }
 
 void HttpSession::OnHeadParsed() {
   head_parsed_ = true;
-  ArmTimer(handler_.Limits().idle_timeout);
   const auto& head = parser_->get();
   auto expect = head.find(http::field::expect);
   if (expect != head.end() && !parser_->is_done()) {
@@ -140,50 +215,40 @@
   }
   LogEvent("request_malformed", LogLevel::kWarning)
       .Field("why", error.message());
+  RejectRequest(Error{code, error.message()});
+}
+
+void HttpSession::RejectRequest(const Error& error) {
   keep_alive_ = false;
   state_ = State::kResponding;
-  Reply(handler_.MakeParseErrorResponse(Error{code, error.message()}));
+  Reply(handler_.MakeParseErrorResponse(error));
+}
+
+void HttpSession::RejectIncompleteRequest() {
+  LogEvent("request_timeout", LogLevel::kWarning)
+      .Field("why", CloseReasonName(TimeoutReason()))
+      .Field("requests", static_cast<int64_t>(requests_))
+      .Field("request_bytes", static_cast<int64_t>(request_bytes_));
+  RejectRequest(
+      Error{ErrorCode::kRequestTimeout, "the request did not arrive in time"});
 }
 
 void HttpSession::Dispatch() {
   state_ = State::kResponding;
+  ++requests_;
   timer_.cancel();
   HttpRequest request = parser_->release();
   keep_alive_ = request.keep_alive();
   is_head_request_ = request.method() == http::verb::head;
   chunked_ = request.version() > kHttp10;
   response_ended_ = false;
-  if (buffer_.size() == 0) {
-    WatchForDisconnect();
-  }
+  WaitForBytes();  // For the caller's disconnect.
   handler_.OnRequest(std::move(request), shared_from_this());
 }
 
-void HttpSession::WatchForDisconnect() {
-  if (watching_disconnect_) {
-    return;
-  }
-  watching_disconnect_ = true;
-  socket_.async_wait(
-      Tcp::socket::wait_read,
-      [self = shared_from_this()](const boost::system::error_code& error) {
-        self->watching_disconnect_ = false;
-        if (self->closed_ || self->state_ != State::kResponding) {
-          return;
-        }
-        char byte = 0;
-        ssize_t peeked = error ? 0
-                               : recv(self->socket_.native_handle(), &byte, 1,
-                                      MSG_PEEK | MSG_DONTWAIT);
-        if (peeked == 0 || (peeked < 0 && errno != EAGAIN && errno != EINTR)) {
-          self->OnCallerDisconnected();
-        }
-      });
-}
-
 void HttpSession::OnCallerDisconnected() {
   auto callback = std::exchange(on_disconnect_, nullptr);
-  Close();
+  Close(CloseReason::kCallerLeft);
   if (callback) {
     callback();
   }
@@ -247,7 +312,7 @@
 
 void HttpSession::Abort() {
   on_disconnect_ = nullptr;
-  Close();
+  Close(CloseReason::kResponseBroken);
 }
 
 void HttpSession::EndResponse() {
@@ -317,28 +382,27 @@
   socket_.shutdown(Tcp::socket::shutdown_send, ignored);
   state_ = State::kLingering;
   ArmTimer(kLingerTimeout);
-  Linger();
+  WaitForBytes();
 }
 
-void HttpSession::Linger() {
-  buffer_.clear();
-  socket_.async_read_some(buffer_.prepare(kReadBytes),
-                          [self = shared_from_this()](
-                              const boost::system::error_code& error, size_t) {
-                            if (self->closed_) {
-                              return;
-                            }
-                            if (error) {
-                              self->Close();
-                              return;
-                            }
-                            self->Linger();
-                          });
+void HttpSession::CloseIfIdleTooLong() {
+  Duration left = idle_since_ + IdleTimeout() - SteadyClock::now();
+  if (left > Duration::zero()) {
+    ArmTimer(left);  // The limit was raised meanwhile.
+    return;
+  }
+  Close(CloseReason::kIdleTimeout);
+}
+
+Duration HttpSession::IdleTimeout() {
+  longest_idle_timeout_ =
+      std::max<Duration>(longest_idle_timeout_, handler_.Limits().idle_timeout);
+  return longest_idle_timeout_;
 }
 
 void HttpSession::CloseIfIdle() {
-  if (state_ == State::kIdle) {
-    Close();
+  if (state_ == State::kIdle && UnreadBytes() == 0) {
+    Close(CloseReason::kStopping);
   }
 }
 
@@ -347,16 +411,74 @@
   timer_.async_wait(
       [weak = weak_from_this()](const boost::system::error_code& error) {
         auto self = weak.lock();
-        if (!error && self && self->state_ != State::kResponding) {
-          self->Close();
+        if (!error && self && !self->closed_) {
+          self->OnTimeout();
         }
       });
 }
 
-void HttpSession::Close() {
+void HttpSession::OnTimeout() {
+  if (timer_.expiry() > SteadyClock::now()) {
+    return;  // Armed anew while this callback was queued.
+  }
+  bool reads_request = state_ == State::kIdle || state_ == State::kReading;
+  if (reads_request && UnreadBytes() > 0) {
+    ArmTimer(kUnreadGrace);
+    return;
+  }
+  switch (state_) {
+    case State::kReading:
+      RejectIncompleteRequest();
+      return;
+    case State::kIdle:
+      CloseIfIdleTooLong();
+      return;
+    case State::kLingering:
+      Close(TimeoutReason());
+      return;
+    case State::kResponding:
+      return;
+  }
+}
+
+CloseReason HttpSession::TimeoutReason() const {
+  switch (state_) {
+    case State::kReading:
+      return head_parsed_ ? CloseReason::kBodyTimeout
+                          : CloseReason::kHeaderTimeout;
+    case State::kLingering:
+      return CloseReason::kLingerTimeout;
+    default:
+      return CloseReason::kIdleTimeout;
+  }
+}
+
+size_t HttpSession::UnreadBytes() const {
+  boost::system::error_code error;
+  size_t bytes = socket_.available(error);
+  return error ? 0 : bytes;
+}
+
+void HttpSession::LogClose(CloseReason reason) const {
+  size_t unread_bytes = buffer_.size() + UnreadBytes();
+  bool nothing_lost = unread_bytes == 0 && state_ == State::kIdle;
+  if (nothing_lost || state_ == State::kLingering) {
+    return;
+  }
+  LogEvent("caller_connection_closed", LogLevel::kWarning)
+      .Field("why", CloseReasonName(reason))
+      .Field("state", StateName(state_))
+      .Field("requests", static_cast<int64_t>(requests_))
+      .Field("request_bytes", static_cast<int64_t>(request_bytes_))
+      .Field("unread_bytes", static_cast<int64_t>(unread_bytes))
+      .Field("unsent_bytes", static_cast<int64_t>(queued_bytes_));
+}
+
+void HttpSession::Close(CloseReason reason) {
   if (closed_) {
     return;
   }
+  LogClose(reason);
   closed_ = true;
   timer_.cancel();
   boost::system::error_code ignored;
--- a/src/gateway/net/http_session.h
+++ b/src/gateway/net/http_session.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "gateway/net/http_listener.h"
 
@@ -22,6 +23,18 @@
   bool stopped = false;   // Idle connections are closed.
 };
 
+// Why a caller's connection was closed.
+enum class CloseReason {
+  kCallerLeft,      // The caller closed its side, or the connection failed.
+  kLastResponse,    // The response that announced it was written.
+  kLingerTimeout,   // The same, and the caller did not close its side in time.
+  kIdleTimeout,     // No request arrived in time.
+  kHeaderTimeout,   // The header did not arrive in time.
+  kBodyTimeout,     // The body did not arrive in time.
+  kStopping,        // The instance is stopping and the connection was idle.
+  kResponseBroken,  // The response cannot be completed.
+};
+
 // Keeps itself alive while an operation on its socket is in progress. The
 // methods of HttpResponder apply to the current request.
 class HttpSession : public HttpResponder,
@@ -33,9 +46,12 @@
 
   // Starts reading requests.
   void Start();
-  // Closes the connection if no request is being read or responded to.
+  // Closes the connection if no request is being read or responded to, and none
+  // has arrived in the socket.
   void CloseIfIdle();
-  bool closed() const { return closed_; }
+  // Whether a request is being read or responded to, or the last response may
+  // not have reached the caller yet.
+  bool busy() const { return !closed_ && state_ != State::kIdle; }
 
   void Reply(HttpResponse response) override;
   void BeginStream(http::response_header<> head) override;
@@ -50,22 +66,42 @@
   // kLingering: the last response is written; incoming bytes are discarded
   // until the caller closes the connection or a timeout expires.
   enum class State { kIdle, kReading, kResponding, kLingering };
+  static std::string_view StateName(State state);
 
   void NextRequest();
-  void ReadMore();
+  // Waits until the socket is readable. Bytes stay in the socket until they are
+  // handled, so that UnreadBytes sees them; and no buffer is in use meanwhile.
+  void WaitForBytes();
+  void OnReadable();
+  // The caller closed its side, or the connection failed.
+  void OnReadEnd();
   void Parse();
   void OnHeadParsed();
   void Dispatch();
   void RejectRequest(const boost::system::error_code& error);
-  void WatchForDisconnect();
+  void RejectRequest(const Error& error);
+  // The request did not arrive whole in time.
+  void RejectIncompleteRequest();
   void OnCallerDisconnected();
   void Enqueue(std::string data);
   void WriteNext();
   void OnResponseWritten();
   void EndResponse();
-  void Linger();
+  // The idle timeout that holds for this connection: the longest that was in
+  // force while it was open, since its caller may know no other one.
+  Duration IdleTimeout();
   void ArmTimer(Duration timeout);
-  void Close();
+  void OnTimeout();
+  // Closes the connection, unless a limit that was raised allows it to rest on.
+  void CloseIfIdleTooLong();
+  // Closes the connection. Logs it if bytes of a request are lost, or if a
+  // request ends without a complete response.
+  void Close(CloseReason reason);
+  void LogClose(CloseReason reason) const;
+  // Why the connection closes if the timer expires now.
+  CloseReason TimeoutReason() const;
+  // Bytes that arrived and were not read from the socket yet.
+  size_t UnreadBytes() const;
 
   Tcp::socket socket_;
   RequestHandler& handler_;
@@ -74,12 +110,16 @@
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   State state_ = State::kIdle;
+  Duration longest_idle_timeout_{};
+  TimePoint idle_since_{};  // Of the current or last rest.
   bool head_parsed_ = false;
+  uint64_t requests_ = 0;         // Requests read whole on this connection.
+  size_t request_bytes_ = 0;      // Bytes read of the request in parser_.
   bool keep_alive_ = true;        // Stay open after the response.
   bool is_head_request_ = false;  // HEAD request: the response has no body.
   bool chunked_ = false;          // Streamed responses use chunked encoding.
   bool response_ended_ = false;   // The complete response is in the queue.
-  bool watching_disconnect_ = false;
+  bool waiting_ = false;          // A wait for bytes is in progress.
   bool closed_ = false;
   bool backpressure_ = false;
   std::deque<std::string> write_queue_;  // The front is being written.
