Answer the requests that are open at the end of a drain

Cause: the process exited with its requests active; nobody told their callers. A quarter of a second before the kill each active request ends with the error that fits what may have been executed, and the process leaves up to 100 ms to write them. A stream that has begun is cut, as before, so that it does not look complete.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -25,8 +25,12 @@
 // After the signal to stop, new requests are still accepted for this long, so
 // that callers have time to fetch an instance list without this instance.
 constexpr Duration kDrainNotice = Millis(2500);
-// The process exits this long before drain_timeout, at which it is killed.
+// Requests that are still active this long before drain_timeout, at which the
+// process is killed, get an error.
 constexpr Duration kKillMargin = Millis(250);
+// After that the process exits as soon as the errors are written, or after this
+// time.
+constexpr Duration kFlushTimeout = Millis(100);
 constexpr Duration kDrainPollInterval = Millis(50);
 constexpr Duration kSettingsPollInterval = Seconds(2);
 
@@ -179,8 +183,8 @@
 
   void StopIfDrained(const OpenWork& open, bool notice_elapsed) {
     Duration waited = SteadyClock::now() - drain_started_;
-    bool timed_out = waited >= settings_.drain_timeout - kKillMargin;
-    if ((notice_elapsed && open.None()) || timed_out) {
+    Duration until_end = settings_.drain_timeout - kKillMargin - waited;
+    if ((notice_elapsed && open.None()) || until_end < -kFlushTimeout) {
       LogEvent("drained")
           .Field("open", static_cast<int64_t>(open.requests))
           .Field("connections", static_cast<int64_t>(open.connections))
@@ -188,6 +192,9 @@
       stopped_.set_value();
       return;
     }
+    if (until_end <= Duration::zero()) {
+      boost::asio::post(traffic_io_, [this] { traffic_.EndAllRequests(); });
+    }
     PollOpenWork();
   }
 
--- a/src/gateway/traffic/active_request.cc
+++ b/src/gateway/traffic/active_request.cc
@@ -62,6 +62,12 @@
   boost::asio::post(io_, [this, id] { requests_.erase(id); });
 }
 
+void ActiveRequestTable::EndAll() {
+  for (auto& [id, request] : requests_) {
+    request->EndNow("the instance stops");
+  }
+}
+
 ActiveRequest::ActiveRequest(TrafficContext& context,
                              ActiveRequestTable& table,
                              RoutedRequest input)
@@ -102,18 +108,19 @@
 }
 
 void ActiveRequest::OnTimeout() {
+  EndNow("the timeout of the route or the caller expired");
+}
+
+void ActiveRequest::EndNow(std::string_view why) {
   if (ended_) {
     return;
   }
   if (streaming_) {
-    AbortStream(ErrorCode::kBackendTimeout,
-                "the timeout of the route or the caller expired");
+    AbortStream(ErrorCode::kBackendTimeout, why);
   } else if (possible_executions_ == 0 && !attempt_) {
-    SendErrorResponse(ErrorCode::kNoBackend,
-                      "the timeout of the route or the caller expired");
+    SendErrorResponse(ErrorCode::kNoBackend, why);
   } else {
-    SendErrorResponse(ErrorCode::kBackendTimeout,
-                      "the timeout of the route or the caller expired");
+    SendErrorResponse(ErrorCode::kBackendTimeout, why);
   }
 }
 
--- a/src/gateway/traffic/active_request.h
+++ b/src/gateway/traffic/active_request.h
@@ -39,6 +39,8 @@
   // Destroys an ended request after the current callback has returned, since
   // that callback may belong to the request.
   void ScheduleRemoval(uint64_t id);
+  // Ends every active request with an error, since the process stops.
+  void EndAll();
   size_t size() const { return requests_.size(); }
 
  private:
@@ -70,6 +72,9 @@
   uint64_t id() const { return id_; }
   // Starts the timeout and the first attempt. Called once, by the table.
   void Start();
+  // Ends the request with the error that fits what may have been executed; no
+  // effect if it has ended.
+  void EndNow(std::string_view why);
 
  protected:
   // Starts serving the request; called by Start().
--- a/src/gateway/traffic/gateway_traffic.h
+++ b/src/gateway/traffic/gateway_traffic.h
@@ -53,6 +53,8 @@
   void StartDraining() { listener_.StartDraining(); }
   // Accepts no new connections and closes idle ones.
   void Stop() { listener_.Stop(); }
+  // Ends the requests that are still active with an error.
+  void EndAllRequests() { router_.EndAll(); }
   OpenWork open_work() const {
     return OpenWork{router_.active_requests(), listener_.busy_connections()};
   }
--- a/src/gateway/traffic/request_router.h
+++ b/src/gateway/traffic/request_router.h
@@ -19,6 +19,8 @@
   CallerLimits Limits() const override;
   HttpResponse MakeParseErrorResponse(const Error& error) const override;
 
+  // Ends every active request with an error, since the process stops.
+  void EndAll() { requests_.EndAll(); }
   // Number of active requests.
   size_t active_requests() const { return requests_.size(); }
 
--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -33,6 +33,7 @@
 constexpr int kPortsPerInstance = 10;
 constexpr int kServerPort = 19290;
 constexpr int kStreamPort = 19291;
+constexpr int kSilentPort = 19292;
 // An accepted configuration must be active within this time (the users' bound).
 constexpr Duration kConfigBound = Millis(2000);
 constexpr Duration kWaitTimeout = Seconds(10);
@@ -337,6 +338,31 @@
   EXPECT_EQ(Kill(0, SIGTERM), 0);
 }
 
+TEST_F(GatewayTest, RequestsOpenAtTheEndOfADrainGetAResponse) {
+  std::unique_ptr<FakeServer> silent;
+  std::string config = Config(2, {"/silent/"});
+  for (size_t at = config.find("\"plain\""); at != std::string::npos;
+       at = config.find("\"plain\"", at)) {
+    config.replace(at, 7, "\"silent\"");
+  }
+  RunOnServerThread([&] {
+    silent = std::make_unique<FakeServer>(io_, Record("silent", kSilentPort),
+                                          NeverRespond());
+    PutServer("silent", kSilentPort);
+    store_.Put("op", "config", config);
+  });
+  WaitForAll();
+  std::string response;
+  std::thread caller(
+      [&response] { response = Get(PortOf(0, kCallers), "/silent/x"); });
+  EXPECT_TRUE(Within(kWaitTimeout,
+                     [&silent] { return silent->requests_received() == 1; }));
+  EXPECT_EQ(Kill(0, SIGTERM), 0);
+  caller.join();
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 504")) << response;
+  RunOnServerThread([&silent] { silent.reset(); });
+}
+
 TEST_F(GatewayTest, ReloadCutsNothingAndTakesTheNewStoreAddress) {
   WaitForAll();
   std::string response;
