Observability: one line for each attempt whose server is silent

The logs showed that an attempt ended with evidence=silent, and in other lines that a retry was denied or a stream was broken, but not that the one led to the other, nor why. attempt_silent names server, stage, time without progress, events so far, time left, what became of the request and why it did not go to another server: route, max_servers, max_resumes, no_time or budget. The checks are the same as before; they only return their reason now.

--- a/src/gateway/traffic/active_request.cc
+++ b/src/gateway/traffic/active_request.cc
@@ -48,6 +48,24 @@
 
 }  // namespace
 
+std::string_view MoveObstacleName(MoveObstacle obstacle) {
+  switch (obstacle) {
+    case MoveObstacle::kNone:
+      return "";
+    case MoveObstacle::kRoute:
+      return "route";
+    case MoveObstacle::kMaxServers:
+      return "max_servers";
+    case MoveObstacle::kMaxResumes:
+      return "max_resumes";
+    case MoveObstacle::kNoTime:
+      return "no_time";
+    case MoveObstacle::kBudget:
+      return "budget";
+  }
+  return "";
+}
+
 void ActiveRequestTable::Add(std::unique_ptr<ActiveRequest> request) {
   uint64_t id = request->id();
   requests_.emplace(id, std::move(request)).first->second->Start();
@@ -105,6 +123,9 @@
   if (ended_) {
     return;
   }
+  if (attempt_) {
+    LogSilence("given_up", MoveObstacle::kNoTime);
+  }
   if (streaming_) {
     AbortStream(ErrorCode::kBackendTimeout,
                 "the timeout of the route or the caller expired");
@@ -274,6 +295,8 @@
   full_options.server = &server;
   full_options.timeout = ServerTimeout();
   last_server_ = server.id;
+  last_stage_ = server.stage;
+  last_progress_ = SteadyClock::now();
   attempt_ = std::make_unique<ServerAttempt>(context_, server, charge);
   attempt_->Start(context_.backends.EncodeRequest(
                       input_.request, input_.caller_request, full_options),
@@ -282,6 +305,19 @@
                   timeout, std::move(callbacks));
 }
 
+void ActiveRequest::LogSilence(std::string_view decision,
+                               MoveObstacle obstacle) const {
+  LogEvent("attempt_silent", LogLevel::kWarning)
+      .Field("request", input_.caller_request.id)
+      .Field("server", last_server_)
+      .Field("stage", StageName(last_stage_))
+      .Field("ms", ToMillis(SteadyClock::now() - last_progress_))
+      .Field("events", EventsReceived())
+      .Field("left_ms", ToMillis(TimeLeft()))
+      .Field("decision", decision)
+      .Field("why", MoveObstacleName(obstacle));
+}
+
 void ActiveRequest::RecordServerOutcome(const BackendServer& server,
                                         const AttemptOutcome& outcome,
                                         double slowness) {
--- a/src/gateway/traffic/active_request.h
+++ b/src/gateway/traffic/active_request.h
@@ -26,6 +26,19 @@
 
 class ActiveRequest;
 
+// Why a request may not go on at another server.
+enum class MoveObstacle {
+  kNone,        // It may.
+  kRoute,       // The route allows one execution only.
+  kMaxServers,  // No further server may execute it.
+  kMaxResumes,  // Its stream was resumed too often.
+  kNoTime,      // Its deadline is too close.
+  kBudget,      // The retry budget is used up.
+};
+
+// The name of `obstacle` in logs; empty for kNone.
+std::string_view MoveObstacleName(MoveObstacle obstacle);
+
 // All active requests by id. Ids are never reused.
 class ActiveRequestTable {
  public:
@@ -81,6 +94,8 @@
   virtual void OnTimeout();
   // Adds the fields of the derived class to the `request_end` log line.
   virtual void AddLogFields(LogEvent& line) const;
+  // Events of a stream received so far.
+  virtual int64_t EventsReceived() const { return 0; }
 
   // Time until the request's deadline; negative once it has passed.
   Duration TimeLeft() const;
@@ -128,6 +143,10 @@
   void RecordServerOutcome(const BackendServer& server,
                            const AttemptOutcome& outcome,
                            double slowness);
+  // Logs `attempt_silent`: the timeout of the last attempt ended while its
+  // server was silent. `decision`: what becomes of the request; `obstacle`: why
+  // it does not go to another server.
+  void LogSilence(std::string_view decision, MoveObstacle obstacle) const;
   // Returns a callback that calls `action` on this request, or does nothing if
   // the request is no longer in the table.
   template <typename Request>
@@ -148,6 +167,8 @@
   int possible_executions_ = 0;  // Servers that may have executed it.
   bool streaming_ = false;       // The response head of a stream was written.
   bool ended_ = false;
+  // Start of the current attempt or its last event, whichever is later.
+  TimePoint last_progress_{};
 
  private:
   // When the caller of a request that was not executed may come back.
@@ -160,6 +181,7 @@
   TimePoint deadline_;
   boost::asio::steady_timer timer_;
   BackendId last_server_;
+  ServerStage last_stage_ = ServerStage::kCombined;
 };
 
 }  // namespace mangoyoke
--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -133,6 +133,7 @@
     longest_gap_ms_ = std::max(longest_gap_ms_, ToMillis(now - last_event_));
   }
   last_event_ = now;
+  last_progress_ = now;
 }
 
 void EngineRequest::OnDecodeEnd(const BackendServer& server,
@@ -196,14 +197,33 @@
   RetryAdmission();
 }
 
+MoveObstacle EngineRequest::ResumeObstacle() const {
+  if (!input_.route->resumable) {
+    return MoveObstacle::kRoute;
+  }
+  if (possible_executions_ >= input_.route->max_servers) {
+    return MoveObstacle::kMaxServers;
+  }
+  if (resumes_ >= kMaxResumes) {
+    return MoveObstacle::kMaxResumes;
+  }
+  return TimeLeft() > Duration::zero() ? MoveObstacle::kNone
+                                       : MoveObstacle::kNoTime;
+}
+
 void EngineRequest::OnDecodeFailed(bool timed_out) {
   framer_.DiscardPartialEvent();
   ErrorCode code =
       timed_out ? ErrorCode::kBackendTimeout : ErrorCode::kBackendBroken;
-  bool may_resume = input_.route->resumable &&
-                    possible_executions_ < input_.route->max_servers &&
-                    resumes_ < kMaxResumes && TimeLeft() > Duration::zero();
-  if (may_resume && TryAcquireRetry()) {
+  MoveObstacle obstacle = ResumeObstacle();
+  if (obstacle == MoveObstacle::kNone && !TryAcquireRetry()) {
+    obstacle = MoveObstacle::kBudget;
+  }
+  bool may_resume = obstacle == MoveObstacle::kNone;
+  if (timed_out) {
+    LogSilence(may_resume ? "moved" : "given_up", obstacle);
+  }
+  if (may_resume) {
     ++resumes_;
     wait_deadline_ = SteadyClock::now() + MaxWait();
     context_.metrics.Increment("mangoyoke_resumes_total");
--- a/src/gateway/traffic/engine_prefill.cc
+++ b/src/gateway/traffic/engine_prefill.cc
@@ -134,7 +134,12 @@
         .Field("why", std::get<Error>(decoded).detail);
   }
   failed_prefills_.insert(server.id);
-  if (!TryAcquireRetry()) {
+  bool repeat = TryAcquireRetry();
+  if (outcome.timed_out) {
+    LogSilence(repeat ? "retried" : "given_up",
+               repeat ? MoveObstacle::kNone : MoveObstacle::kBudget);
+  }
+  if (!repeat) {
     FailRequest(ErrorCode::kNoBackend,
                 "prefill of the prompt failed and the retry budget is used up");
     return;
--- a/src/gateway/traffic/engine_request.h
+++ b/src/gateway/traffic/engine_request.h
@@ -48,6 +48,7 @@
 
   void Begin() override;
   void AddLogFields(LogEvent& line) const override;
+  int64_t EventsReceived() const override { return framer_.event_count(); }
 
   // Whether the target latency could not be met any more when the request
   // arrived, because of the caller's earlier tries.
@@ -114,6 +115,9 @@
   void OnDecodeNotExecuted();
   // The stream broke or the server failed: resumes or ends the request.
   void OnDecodeFailed(bool timed_out);
+  // Why the stream may not be resumed at another server after the one that may
+  // have executed it, apart from the retry budget.
+  MoveObstacle ResumeObstacle() const;
   // Ends the request with an error. `code` is replaced if a server may have
   // executed the request, since `code` may say that none did. `earliest`: see
   // SendErrorResponse.
--- a/src/gateway/traffic/plain_request.cc
+++ b/src/gateway/traffic/plain_request.cc
@@ -102,7 +102,7 @@
   if (outcome.result == ExchangeResult::kIncomplete) {
     RetryOrFail(outcome.timed_out ? ErrorCode::kBackendTimeout
                                   : ErrorCode::kBackendBroken,
-                "no complete response from the server");
+                "no complete response from the server", outcome.timed_out);
     return;
   }
   if (outcome.response.status >= 500 &&
@@ -123,12 +123,31 @@
   Reply(*outcome.head, std::move(outcome.body));
 }
 
-void PlainRequest::RetryOrFail(ErrorCode code, std::string_view why) {
-  bool allowed = possible_executions_ == 0 ||
-                 (input_.route->IsRetrySafe() &&
-                  possible_executions_ < input_.route->max_servers);
-  if (allowed && attempts_sent_ < kMaxAttempts &&
-      TimeLeft() > Duration::zero() && TryAcquireRetry()) {
+MoveObstacle PlainRequest::RetryObstacle() const {
+  if (possible_executions_ > 0 && !input_.route->IsRetrySafe()) {
+    return MoveObstacle::kRoute;
+  }
+  if (attempts_sent_ >= kMaxAttempts ||
+      (possible_executions_ > 0 &&
+       possible_executions_ >= input_.route->max_servers)) {
+    return MoveObstacle::kMaxServers;
+  }
+  return TimeLeft() > Duration::zero() ? MoveObstacle::kNone
+                                       : MoveObstacle::kNoTime;
+}
+
+void PlainRequest::RetryOrFail(ErrorCode code,
+                               std::string_view why,
+                               bool silent) {
+  MoveObstacle obstacle = RetryObstacle();
+  if (obstacle == MoveObstacle::kNone && !TryAcquireRetry()) {
+    obstacle = MoveObstacle::kBudget;
+  }
+  bool may_retry = obstacle == MoveObstacle::kNone;
+  if (silent) {
+    LogSilence(may_retry ? "retried" : "given_up", obstacle);
+  }
+  if (may_retry) {
     StartNextAttempt();
     return;
   }
--- a/src/gateway/traffic/plain_request.h
+++ b/src/gateway/traffic/plain_request.h
@@ -19,8 +19,11 @@
   // Sends the request to the next server; ends it if there is none.
   void StartNextAttempt();
   void OnAttemptEnd(const BackendServer& server, AttemptOutcome outcome);
-  // Retries if that is allowed, else fails.
-  void RetryOrFail(ErrorCode code, std::string_view why);
+  // Why the request may not be sent again, apart from the retry budget.
+  MoveObstacle RetryObstacle() const;
+  // Retries if that is allowed, else fails. `silent`: the attempt ended since
+  // its server was silent.
+  void RetryOrFail(ErrorCode code, std::string_view why, bool silent = false);
   // Ends the request with the last error response of a server. If there is
   // none, ends it with `code`, or with kBackendBroken if `code` states that the
   // request was not executed although it may have been. `earliest`: when a
