Fix: stream was cut though its silent server would have gone on

Callers of resumable streams saw them end in the middle after three target gaps of silence: the attempt was closed first, and only then the retry budget, the other servers' room and the number of resumes were looked at. If one of them said no, the stream was aborted. All streams of a server are silent together, so the budget is used up at once.

When the timeout ends, the request now asks first: route, number of servers and resumes, time left for a prefill, budget, a usable other server with room. Only if all agree the retry is taken and the attempt is closed, before the request goes to the next server. Else it keeps waiting, takes nothing, and asks again every 250 ms until it is answered or reaches its deadline. The silence is recorded for the server's health once.

--- a/src/gateway/core/shared_retry_budget.cc
+++ b/src/gateway/core/shared_retry_budget.cc
@@ -63,7 +63,7 @@
   history.requests.push_back(now);
 }
 
-bool SharedRetryBudget::TryAcquire(const ServiceId& service, TimePoint now) {
+bool SharedRetryBudget::Allows(const ServiceId& service, TimePoint now) {
   History& history = local_history_[service];
   RemoveExpired(history, now);
   double local_limit =
@@ -72,10 +72,14 @@
        FixedRetries(now) / static_cast<double>(MaxInstanceCount(now)));
   bool local_allows =
       static_cast<double>(history.retries.size()) + 1 <= local_limit;
-  if (!local_allows && !SharedPartAllows(service, history, now)) {
+  return local_allows || SharedPartAllows(service, history, now);
+}
+
+bool SharedRetryBudget::TryAcquire(const ServiceId& service, TimePoint now) {
+  if (!Allows(service, now)) {
     return false;
   }
-  history.retries.push_back(now);
+  local_history_[service].retries.push_back(now);
   return true;
 }
 
--- a/src/gateway/core/shared_retry_budget.h
+++ b/src/gateway/core/shared_retry_budget.h
@@ -60,6 +60,8 @@
                     TimePoint now);
   // Counts a request to `service`, which adds to the budget.
   void OnRequest(const ServiceId& service, TimePoint now);
+  // Whether there is a retry of `service` in the budget. Takes none.
+  bool Allows(const ServiceId& service, TimePoint now);
   // Takes one retry of `service` out of the budget. False if there is none.
   bool TryAcquire(const ServiceId& service, TimePoint now);
 
--- a/src/gateway/net/timed_exchange.cc
+++ b/src/gateway/net/timed_exchange.cc
@@ -55,12 +55,22 @@
         timer_.expiry() > SteadyClock::now()) {
       return;
     }
-    outcome_.timed_out = true;
-    connection_->Close();
-    OnEnd(ExchangeResult::kIncomplete);
+    OnTimeout();
   });
 }
 
+void TimedExchange::OnTimeout() {
+  if (callbacks_.on_timeout) {
+    if (std::optional<Duration> wait = callbacks_.on_timeout()) {
+      SetTimeout(*wait);
+      return;
+    }
+  }
+  outcome_.timed_out = true;
+  connection_->Close();
+  OnEnd(ExchangeResult::kIncomplete);
+}
+
 void TimedExchange::Abort() {
   if (connection_) {
     connection_->Close();
--- a/src/gateway/net/timed_exchange.h
+++ b/src/gateway/net/timed_exchange.h
@@ -33,6 +33,9 @@
   // to on_data, false to collect it in ExchangeOutcome::body.
   std::function<bool(const http::response_header<>&)> on_head;
   std::function<void(std::string)> on_data;
+  // Optional: the timeout ended. Returns how long to wait on for the server;
+  // nothing to end the exchange. Must not destroy the exchange.
+  std::function<std::optional<Duration>()> on_timeout;
   // Last call of the exchange, which may be destroyed in it.
   std::function<void(ExchangeOutcome)> on_end;
 };
@@ -47,7 +50,7 @@
   // Sends `request` to `address` ("IP:port"). Only a response that echoes
   // `request_id` is accepted. With `avoid_stale`, avoids pooled connections
   // that the server may be about to close. After `timeout` the exchange ends as
-  // kIncomplete with `timed_out` set.
+  // kIncomplete with `timed_out` set, unless on_timeout prolongs it.
   void Start(const std::string& address,
              HttpRequest request,
              const std::string& request_id,
@@ -66,6 +69,8 @@
   void OnEnd(ExchangeResult result) override;
 
  private:
+  void OnTimeout();
+
   boost::asio::io_context& io_;
   ConnectionPool& pool_;
   boost::asio::steady_timer timer_;
--- a/src/gateway/traffic/active_request.cc
+++ b/src/gateway/traffic/active_request.cc
@@ -25,6 +25,8 @@
 // while, as a share of that time.
 constexpr double kPauseSpreadShare = 0.5;
 constexpr unsigned kServerErrors = 500;
+// How often a request at a silent server looks for another server.
+constexpr Duration kAskAgainAfter = Millis(250);
 
 // The outcome of an attempt, as recorded for the health of its server.
 ServerOutcome ServerOutcomeOf(const AttemptOutcome& outcome) {
@@ -62,6 +64,8 @@
       return "no_time";
     case MoveObstacle::kBudget:
       return "budget";
+    case MoveObstacle::kNoRoom:
+      return "no_room";
   }
   return "";
 }
@@ -241,7 +245,37 @@
   table_.ScheduleRemoval(id_);
 }
 
+bool ActiveRequest::RetryAllowed() const {
+  return context_.retry_budget.Allows(input_.service, SteadyClock::now());
+}
+
+std::optional<Duration> ActiveRequest::KeepWaiting(const BackendServer& server,
+                                                   MoveObstacle obstacle) {
+  if (obstacle == MoveObstacle::kNone && !TryAcquireRetry()) {
+    obstacle = MoveObstacle::kBudget;
+  }
+  if (obstacle == MoveObstacle::kNone) {
+    retry_taken_ = true;
+    LogSilence("moved", obstacle);
+    return std::nullopt;
+  }
+  if (!std::exchange(silence_known_, true)) {
+    LogSilence("kept_waiting", obstacle);
+    context_.health.RecordOutcome(server, ServerOutcome::kTimeout, 0,
+                                  SteadyClock::now());
+  }
+  return kAskAgainAfter;
+}
+
+void ActiveRequest::RecordProgress() {
+  last_progress_ = SteadyClock::now();
+  silence_known_ = false;
+}
+
 bool ActiveRequest::TryAcquireRetry() {
+  if (std::exchange(retry_taken_, false)) {
+    return true;
+  }
   if (context_.retry_budget.TryAcquire(input_.service, SteadyClock::now())) {
     context_.metrics.Increment("mangoyoke_repeats_total");
     return true;
@@ -296,7 +330,7 @@
   full_options.timeout = ServerTimeout();
   last_server_ = server.id;
   last_stage_ = server.stage;
-  last_progress_ = SteadyClock::now();
+  RecordProgress();
   attempt_ = std::make_unique<ServerAttempt>(context_, server, charge);
   attempt_->Start(context_.backends.EncodeRequest(
                       input_.request, input_.caller_request, full_options),
--- a/src/gateway/traffic/active_request.h
+++ b/src/gateway/traffic/active_request.h
@@ -34,6 +34,7 @@
   kMaxResumes,  // Its stream was resumed too often.
   kNoTime,      // Its deadline is too close.
   kBudget,      // The retry budget is used up.
+  kNoRoom,      // No other server has room, as far as known.
 };
 
 // The name of `obstacle` in logs; empty for kNone.
@@ -123,9 +124,17 @@
   // Ends the request without a response, as the caller is gone.
   void EndWithoutResponse(std::string_view outcome);
 
-  // Takes one retry from the service's retry budget. Returns false if the
-  // budget is used up.
+  // Takes one retry from the service's retry budget, unless KeepWaiting has
+  // taken it. Returns false if the budget is used up.
   bool TryAcquireRetry();
+  // Whether the retry budget has a retry left. Takes none.
+  bool RetryAllowed() const;
+  // `server` was silent for the timeout of the current attempt. `obstacle`: why
+  // the request may not go to another server now. If it may, takes a retry for
+  // that and returns nothing: the attempt has to be ended. Else returns the
+  // time after which to ask again; until then the server may go on.
+  std::optional<Duration> KeepWaiting(const BackendServer& server,
+                                      MoveObstacle obstacle);
   // Chooses a server of the request's service, without the excluded servers.
   PlacementChoice ChooseServer(PlacementQuery query);
   // Whether `server` has not said that it wants no new requests.
@@ -143,6 +152,8 @@
   void RecordServerOutcome(const BackendServer& server,
                            const AttemptOutcome& outcome,
                            double slowness);
+  // An event of the current attempt arrived.
+  void RecordProgress();
   // Logs `attempt_silent`: the timeout of the last attempt ended while its
   // server was silent. `decision`: what becomes of the request; `obstacle`: why
   // it does not go to another server.
@@ -167,8 +178,6 @@
   int possible_executions_ = 0;  // Servers that may have executed it.
   bool streaming_ = false;       // The response head of a stream was written.
   bool ended_ = false;
-  // Start of the current attempt or its last event, whichever is later.
-  TimePoint last_progress_{};
 
  private:
   // When the caller of a request that was not executed may come back.
@@ -180,8 +189,13 @@
   TimePoint arrived_;
   TimePoint deadline_;
   boost::asio::steady_timer timer_;
+  bool retry_taken_ = false;  // By KeepWaiting, and not yet used.
+  // The silence of the current attempt was logged and recorded.
+  bool silence_known_ = false;
   BackendId last_server_;
   ServerStage last_stage_ = ServerStage::kCombined;
+  // Start of the current attempt or its last event, whichever is later.
+  TimePoint last_progress_{};
 };
 
 }  // namespace mangoyoke
--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -15,9 +15,9 @@
 // by more than a step.
 constexpr int64_t kKvChargeStep = 64;
 constexpr int kMaxResumes = 3;
-// Event timeout of a stream that may still be resumed at another server: this
-// many times the target gap, or before the first event this part of the target
-// latency.
+// Event timeout of a stream that may still be resumed at another server, after
+// which it is resumed there if that is possible: this many times the target
+// gap, or before the first event this part of the target latency.
 constexpr double kGapTimeoutFactor = 3;
 constexpr double kFirstEventTimeoutFactor = 0.7;
 
@@ -70,6 +70,9 @@
   callbacks.on_data = [this](std::string data) {
     OnDecodeData(std::move(data));
   };
+  callbacks.on_timeout = [this, server] {
+    return KeepWaiting(server, DecodeMoveObstacle(server));
+  };
   callbacks.on_end = [this, server](AttemptOutcome outcome) {
     OnDecodeEnd(server, std::move(outcome));
   };
@@ -133,7 +136,7 @@
     longest_gap_ms_ = std::max(longest_gap_ms_, ToMillis(now - last_event_));
   }
   last_event_ = now;
-  last_progress_ = now;
+  RecordProgress();
 }
 
 void EngineRequest::OnDecodeEnd(const BackendServer& server,
@@ -197,11 +200,11 @@
   RetryAdmission();
 }
 
-MoveObstacle EngineRequest::ResumeObstacle() const {
+MoveObstacle EngineRequest::ResumeObstacle(int executions) const {
   if (!input_.route->resumable) {
     return MoveObstacle::kRoute;
   }
-  if (possible_executions_ >= input_.route->max_servers) {
+  if (executions >= input_.route->max_servers) {
     return MoveObstacle::kMaxServers;
   }
   if (resumes_ >= kMaxResumes) {
@@ -211,19 +214,28 @@
                                        : MoveObstacle::kNoTime;
 }
 
+MoveObstacle EngineRequest::DecodeMoveObstacle(const BackendServer& server) {
+  MoveObstacle obstacle = ResumeObstacle(possible_executions_ + 1);
+  if (obstacle != MoveObstacle::kNone) {
+    return obstacle;
+  }
+  if (TimeLeft() <= FromMillis(PrefillMillis() + kFirstEventMs)) {
+    return MoveObstacle::kNoTime;
+  }
+  if (!RetryAllowed()) {
+    return MoveObstacle::kBudget;
+  }
+  PlacementChoice choice = ChooseDecodeServer({server.id});
+  bool room = choice.server != nullptr && choice.usable && choice.has_capacity;
+  return room ? MoveObstacle::kNone : MoveObstacle::kNoRoom;
+}
+
 void EngineRequest::OnDecodeFailed(bool timed_out) {
   framer_.DiscardPartialEvent();
   ErrorCode code =
       timed_out ? ErrorCode::kBackendTimeout : ErrorCode::kBackendBroken;
-  MoveObstacle obstacle = ResumeObstacle();
-  if (obstacle == MoveObstacle::kNone && !TryAcquireRetry()) {
-    obstacle = MoveObstacle::kBudget;
-  }
-  bool may_resume = obstacle == MoveObstacle::kNone;
-  if (timed_out) {
-    LogSilence(may_resume ? "moved" : "given_up", obstacle);
-  }
-  if (may_resume) {
+  bool may_resume = ResumeObstacle(possible_executions_) == MoveObstacle::kNone;
+  if (may_resume && TryAcquireRetry()) {
     ++resumes_;
     wait_deadline_ = SteadyClock::now() + MaxWait();
     context_.metrics.Increment("mangoyoke_resumes_total");
--- a/src/gateway/traffic/engine_request.cc
+++ b/src/gateway/traffic/engine_request.cc
@@ -157,8 +157,10 @@
   return now != nullptr && *now == server;
 }
 
-PlacementChoice EngineRequest::ChooseDecodeServer() {
+PlacementChoice EngineRequest::ChooseDecodeServer(
+    std::set<BackendId> excluded) {
   PlacementQuery query;
+  query.excluded = std::move(excluded);
   query.stage = ServerStage::kDecode;
   query.kv_tokens = ExpectedKvTokens();
   query.preferred_zone = context_.zone;  // The prompt and the events pass here.
--- a/src/gateway/traffic/engine_request.h
+++ b/src/gateway/traffic/engine_request.h
@@ -66,7 +66,8 @@
   // Logs `admission_wait` once: the figures of the best server, for which the
   // request has to wait.
   void LogAdmissionWait(const PlacementChoice& choice);
-  PlacementChoice ChooseDecodeServer();
+  // `excluded`: servers besides those that failed the request.
+  PlacementChoice ChooseDecodeServer(std::set<BackendId> excluded = {});
   PlacementChoice ChoosePrefillServer();
   // Estimated prefill time of the prompt at a prefill server, without queueing,
   // in milliseconds.
@@ -115,9 +116,11 @@
   void OnDecodeNotExecuted();
   // The stream broke or the server failed: resumes or ends the request.
   void OnDecodeFailed(bool timed_out);
-  // Why the stream may not be resumed at another server after the one that may
-  // have executed it, apart from the retry budget.
-  MoveObstacle ResumeObstacle() const;
+  // Why the stream may not be resumed at another server, apart from the retry
+  // budget, when `executions` servers may have executed it.
+  MoveObstacle ResumeObstacle(int executions) const;
+  // Why the stream may not be taken from the silent `server` now.
+  MoveObstacle DecodeMoveObstacle(const BackendServer& server);
   // Ends the request with an error. `code` is replaced if a server may have
   // executed the request, since `code` may say that none did. `earliest`: see
   // SendErrorResponse.
@@ -135,7 +138,7 @@
   // Adds a load charge for this request at `server`; replaces the last one.
   void ChargeLoad(const BackendId& server);
   void ReleaseLoad();
-  // How long the decode attempt may take until its next event.
+  // How long the decode server may be silent before another one is looked for.
   Duration EventTimeout() const;
   // Null if the service has no engine data in the configuration.
   const EngineSpec* Engine() const;
--- a/src/gateway/traffic/server_attempt.cc
+++ b/src/gateway/traffic/server_attempt.cc
@@ -30,6 +30,7 @@
     return on_head && on_head(head, response_);
   };
   exchange_callbacks.on_data = std::move(callbacks.on_data);
+  exchange_callbacks.on_timeout = std::move(callbacks.on_timeout);
   exchange_callbacks.on_end = [this, on_end = std::move(callbacks.on_end)](
                                   ExchangeOutcome exchange_outcome) {
     context_.load.Release(charge_id_);
--- a/src/gateway/traffic/server_attempt.h
+++ b/src/gateway/traffic/server_attempt.h
@@ -30,6 +30,8 @@
   std::function<bool(const http::response_header<>&, const BackendResponse&)>
       on_head;
   std::function<void(std::string)> on_data;
+  // Optional: the timeout ended; see ExchangeCallbacks.
+  std::function<std::optional<Duration>()> on_timeout;
   // The last callback; it may destroy the attempt.
   std::function<void(AttemptOutcome)> on_end;
 };
--- /dev/null
+++ b/tests/unit/silent_servers_test.cc
@@ -0,0 +1,205 @@
+// Requests whose sound server falls silent for a second and then goes on.
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "tests/support/traffic_fixture.h"
+
+namespace mangoyoke {
+namespace {
+
+constexpr Millis kSilence{1000};
+// Leaves time for a silence and a move.
+constexpr Millis kRouteTimeout{5000};
+
+// Calls `action` after `delay`.
+void After(boost::asio::io_context& io,
+           Duration delay,
+           std::function<void()> action) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(io, delay);
+  timer->async_wait(
+      [timer, action](const boost::system::error_code&) { action(); });
+}
+
+// Handles each request with `action` after `delay`.
+FakeServer::Action Delayed(boost::asio::io_context& io,
+                           Duration delay,
+                           FakeServer::Action action) {
+  return [&io, delay, action](const HttpRequest& request, auto responder) {
+    After(io, delay,
+          [request, responder, action] { action(request, responder); });
+  };
+}
+
+// Streams events 1 and 2, is silent for `silence` and ends with 3 and 4.
+FakeServer::Action StreamWithSilence(boost::asio::io_context& io,
+                                     Duration silence) {
+  return [&io, silence](const HttpRequest& request, auto responder) {
+    http::response_header<> head;
+    head.result(200);
+    head.set(kRequestIdHeader, request[kRequestIdHeader]);
+    head.set(kResponseStampHeader, "stamp");
+    head.set(http::field::content_type, "text/event-stream");
+    responder->BeginStream(head);
+    responder->Write("id: 1\ndata: t\n\nid: 2\ndata: t\n\n");
+    After(io, silence, [responder] {
+      responder->Write("id: 3\ndata: t\n\nid: 4\ndata: t\n\n");
+      responder->EndStream();
+    });
+  };
+}
+
+bool IsWholeStream(const std::string& response) {
+  for (int id = 1; id <= 4; ++id) {
+    if (response.find("id: " + std::to_string(id) + "\n") ==
+        std::string::npos) {
+      return false;
+    }
+  }
+  return HasStatus(response, 200) && response.ends_with("0\r\n\r\n");
+}
+
+class SilentServersTest : public GatewayTrafficTest {
+ protected:
+  // Runs `action` on the gateway's thread.
+  void OnGateway(const std::function<void()>& action) {
+    std::promise<void> done;
+    boost::asio::post(io_, [&] {
+      action();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  // Starts the gateway; routes allow `max_servers` and kRouteTimeout.
+  void Start(RequestKind kind, int max_servers) {
+    StartGateway(kind, kind == RequestKind::kStreaming, max_servers);
+    OnGateway([&] {
+      RouteRule route = *context_.config->Match("h", "/x");
+      route.timeout = kRouteTimeout;
+      context_.config = std::make_shared<ServingConfig>(
+          2, std::vector<RouteRule>{route}, std::vector<ServiceRule>{service_},
+          CallerLimits{});
+    });
+  }
+
+  void UseUpRetryBudget() {
+    OnGateway([this] {
+      while (context_.retry_budget.TryAcquire("s", SteadyClock::now())) {
+      }
+    });
+  }
+
+  int64_t RetriesTaken() {
+    int64_t retries = 0;
+    OnGateway([&] {
+      retries =
+          context_.retry_budget.LocalCounts(SteadyClock::now())["s"].retries;
+    });
+    return retries;
+  }
+
+  // A service with one prefill server and `decode_servers` of `action`.
+  void AddEngines(int decode_servers, const FakeServer::Action& action) {
+    AddServer(ServerStage::kPrefill, RespondWithKvHandle("h1"));
+    for (int i = 0; i < decode_servers; ++i) {
+      AddServer(ServerStage::kDecode, action);
+    }
+  }
+
+  int RequestsFrom(size_t first_server) {
+    int requests = 0;
+    for (size_t i = first_server; i < servers_.size(); ++i) {
+      requests += servers_[i]->requests_received();
+    }
+    return requests;
+  }
+};
+
+TEST_F(SilentServersTest, StreamIsNotCutIfTheRetryBudgetIsUsedUp) {
+  AddEngines(2, StreamWithSilence(io_, kSilence * 3 / 2));
+  Start(RequestKind::kStreaming, 3);
+  UseUpRetryBudget();
+  std::string response = SendRequest();
+  EXPECT_TRUE(IsWholeStream(response)) << response;
+  EXPECT_EQ(RequestsFrom(1), 1);
+}
+
+TEST_F(SilentServersTest, StreamIsNotCutIfThereIsNoOtherServer) {
+  AddEngines(1, StreamWithSilence(io_, kSilence * 3 / 2));
+  Start(RequestKind::kStreaming, 3);
+  std::string response = SendRequest();
+  EXPECT_TRUE(IsWholeStream(response)) << response;
+  EXPECT_EQ(RetriesTaken(), 0);
+}
+
+TEST_F(SilentServersTest, StreamIsNotCutIfNoOtherServerHasRoom) {
+  AddEngines(2, [this](const HttpRequest& request, auto responder) {
+    for (const char* id : {"server-1", "server-2"}) {
+      context_.load.Charge(id, LoadCharge{1, 0, 3000});
+    }
+    StreamWithSilence(io_, kSilence * 3 / 2)(request, responder);
+  });
+  service_.engine = EngineSpec{};
+  service_.engine->kv_tokens = 3000;
+  Start(RequestKind::kStreaming, 3);
+  std::string response = SendRequest();
+  EXPECT_TRUE(IsWholeStream(response)) << response;
+  EXPECT_EQ(RequestsFrom(1), 1);
+  EXPECT_EQ(RetriesTaken(), 0);
+}
+
+// Before their first event the servers are silent in turn, so that the stream
+// has been moved as often as it may be when the last one is silent for a while.
+TEST_F(SilentServersTest, StreamIsNotCutIfItWasMovedTooOften) {
+  auto decodes = std::make_shared<std::atomic<int>>(0);
+  FakeServer::Action silent = NeverRespond();
+  AddEngines(5, [=, this](const HttpRequest& request, auto responder) {
+    if ((*decodes)++ < 3) {
+      silent(request, responder);
+    } else {
+      Delayed(io_, kSilence, StreamEvents(io_, 1, 4, true))(request, responder);
+    }
+  });
+  Start(RequestKind::kStreaming, 6);
+  std::string response = SendRequest();
+  EXPECT_TRUE(IsWholeStream(response)) << response;
+  EXPECT_EQ(*decodes, 4);
+}
+
+TEST_F(SilentServersTest, StreamMovesOnceAnotherServerHasRoom) {
+  uint64_t charge = 0;
+  FakeServer::Action silent = NeverRespond();
+  auto decodes = std::make_shared<std::atomic<int>>(0);
+  AddEngines(2, [=, &charge, this](const HttpRequest& request, auto responder) {
+    if ((*decodes)++ > 0) {
+      StreamEvents(io_, 1, 4, true)(request, responder);
+      return;
+    }
+    silent(request, responder);
+    // The other server gets room after a while.
+    bool first = context_.load.At("server-1", SteadyClock::now()).requests > 0;
+    charge = context_.load.Charge(first ? "server-2" : "server-1",
+                                  LoadCharge{1, 0, 3000});
+    After(io_, kSilence,
+          [responder, &charge, this] { context_.load.Release(charge); });
+  });
+  service_.engine = EngineSpec{};
+  service_.engine->kv_tokens = 3000;
+  Start(RequestKind::kStreaming, 3);
+  TimePoint start = SteadyClock::now();
+  std::string response = SendRequest();
+  EXPECT_TRUE(IsWholeStream(response)) << response;
+  EXPECT_GE(SteadyClock::now() - start, kSilence);
+  EXPECT_LT(SteadyClock::now() - start, 2 * kSilence);
+  EXPECT_EQ(RetriesTaken(), 1);
+}
+
+}  // namespace
+}  // namespace mangoyoke
