Fix: 504 for an idempotent request whose silent server would have answered

Callers of idempotent routes got 504 (or 502) after 1.2 target latencies with seconds of their deadline left: the attempt at a silent server was closed, and only then the retry budget was found used up, or no other server had room.

The request now asks first, as a stream does: route, attempts and servers, time, budget, a usable other server with a free slot. If one says no, it keeps waiting for its server, takes nothing from the budget and asks again.

SilentServersTest on the code before: IdempotentRequestIsAnsweredThoughTheBudgetIsUsedUp: backend_timeout status=504 ms=480.2 IdempotentRequestIsAnsweredByTheOnlyServer: backend_broken status=502 ms=480.3 IdempotentRequestIsNotSentToAFullServer: backend_broken status=502 ms=480.5 ServiceWhoseServersAreAllSilentIsNotRefused was not run on that code; it shows that silence of all copies at once leads to no refusal.

--- a/src/gateway/traffic/plain_request.cc
+++ b/src/gateway/traffic/plain_request.cc
@@ -13,8 +13,8 @@
 constexpr int kMaxUnreachable = 4;
 // Attempts that reached a server, for one request.
 constexpr int kMaxAttempts = 4;
-// An idempotent request is sent to another server when there is no response
-// after this many times its target latency.
+// An idempotent request without a response after this many times its target
+// latency is sent to another server if that is possible.
 constexpr double kTargetTimeoutFactor = 1.2;
 
 // Statuses that tell a caller that the request was not executed.
@@ -67,6 +67,9 @@
     return;
   }
   AttemptCallbacks callbacks;
+  callbacks.on_timeout = [this, server = *choice.server] {
+    return KeepWaiting(server, SilentServerObstacle(server));
+  };
   callbacks.on_end = [this, server = *choice.server](AttemptOutcome outcome) {
     OnAttemptEnd(server, std::move(outcome));
   };
@@ -102,7 +105,7 @@
   if (outcome.result == ExchangeResult::kIncomplete) {
     RetryOrFail(outcome.timed_out ? ErrorCode::kBackendTimeout
                                   : ErrorCode::kBackendBroken,
-                "no complete response from the server", outcome.timed_out);
+                "no complete response from the server");
     return;
   }
   if (outcome.response.status >= 500 &&
@@ -123,31 +126,39 @@
   Reply(*outcome.head, std::move(outcome.body));
 }
 
-MoveObstacle PlainRequest::RetryObstacle() const {
-  if (possible_executions_ > 0 && !input_.route->IsRetrySafe()) {
+MoveObstacle PlainRequest::RetryObstacle(int sent, int executions) const {
+  if (executions > 0 && !input_.route->IsRetrySafe()) {
     return MoveObstacle::kRoute;
   }
-  if (attempts_sent_ >= kMaxAttempts ||
-      (possible_executions_ > 0 &&
-       possible_executions_ >= input_.route->max_servers)) {
+  if (sent >= kMaxAttempts ||
+      (executions > 0 && executions >= input_.route->max_servers)) {
     return MoveObstacle::kMaxServers;
   }
   return TimeLeft() > Duration::zero() ? MoveObstacle::kNone
                                        : MoveObstacle::kNoTime;
 }
 
-void PlainRequest::RetryOrFail(ErrorCode code,
-                               std::string_view why,
-                               bool silent) {
-  MoveObstacle obstacle = RetryObstacle();
-  if (obstacle == MoveObstacle::kNone && !TryAcquireRetry()) {
-    obstacle = MoveObstacle::kBudget;
-  }
-  bool may_retry = obstacle == MoveObstacle::kNone;
-  if (silent) {
-    LogSilence(may_retry ? "retried" : "given_up", obstacle);
-  }
-  if (may_retry) {
+MoveObstacle PlainRequest::SilentServerObstacle(const BackendServer& server) {
+  MoveObstacle obstacle =
+      RetryObstacle(attempts_sent_ + 1, possible_executions_ + 1);
+  if (obstacle != MoveObstacle::kNone) {
+    return obstacle;
+  }
+  if (!RetryAllowed()) {
+    return MoveObstacle::kBudget;
+  }
+  PlacementQuery query;
+  query.excluded = {server.id};
+  PlacementChoice choice = ChooseServer(query);
+  bool room = choice.server != nullptr && choice.usable &&
+              choice.load.requests < std::max(1, choice.server->slots);
+  return room ? MoveObstacle::kNone : MoveObstacle::kNoRoom;
+}
+
+void PlainRequest::RetryOrFail(ErrorCode code, std::string_view why) {
+  bool may_retry = RetryObstacle(attempts_sent_, possible_executions_) ==
+                   MoveObstacle::kNone;
+  if (may_retry && TryAcquireRetry()) {
     StartNextAttempt();
     return;
   }
--- a/src/gateway/traffic/plain_request.h
+++ b/src/gateway/traffic/plain_request.h
@@ -19,11 +19,14 @@
   // Sends the request to the next server; ends it if there is none.
   void StartNextAttempt();
   void OnAttemptEnd(const BackendServer& server, AttemptOutcome outcome);
-  // Why the request may not be sent again, apart from the retry budget.
-  MoveObstacle RetryObstacle() const;
-  // Retries if that is allowed, else fails. `silent`: the attempt ended since
-  // its server was silent.
-  void RetryOrFail(ErrorCode code, std::string_view why, bool silent = false);
+  // Why the request may not be sent again, apart from the retry budget, when
+  // `sent` attempts reached a server and `executions` servers may have executed
+  // it.
+  MoveObstacle RetryObstacle(int sent, int executions) const;
+  // Why the request may not be taken from the silent `server` now.
+  MoveObstacle SilentServerObstacle(const BackendServer& server);
+  // Retries if that is allowed, else fails.
+  void RetryOrFail(ErrorCode code, std::string_view why);
   // Ends the request with the last error response of a server. If there is
   // none, ends it with `code`, or with kBackendBroken if `code` states that the
   // request was not executed although it may have been. `earliest`: when a
@@ -31,7 +34,7 @@
   void Fail(ErrorCode code,
             std::string_view why,
             std::optional<TimePoint> earliest = std::nullopt);
-  // Timeout of the next attempt.
+  // How long the next server may be silent before another one is looked for.
   Duration AttemptTimeout() const;
 
   int unreachable_ = 0;               // Servers that could not be reached.
--- a/tests/unit/silent_servers_test.cc
+++ b/tests/unit/silent_servers_test.cc
@@ -2,12 +2,16 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <future>
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
+#include <vector>
 
 #include "tests/support/traffic_fixture.h"
 
@@ -201,5 +205,67 @@
   EXPECT_EQ(RetriesTaken(), 1);
 }
 
+TEST_F(SilentServersTest, IdempotentRequestIsAnsweredThoughTheBudgetIsUsedUp) {
+  FakeServer::Action late =
+      Delayed(io_, kSilence, RespondWith(http::status::ok, "done"));
+  AddServer(ServerStage::kCombined, late);
+  AddServer(ServerStage::kCombined, late);
+  Start(RequestKind::kIdempotent, 3);
+  UseUpRetryBudget();
+  std::string response = SendRequest("GET");
+  EXPECT_TRUE(HasStatus(response, 200)) << response;
+  EXPECT_EQ(RequestsFrom(0), 1);
+}
+
+TEST_F(SilentServersTest, IdempotentRequestIsAnsweredByTheOnlyServer) {
+  AddServer(ServerStage::kCombined,
+            Delayed(io_, kSilence, RespondWith(http::status::ok, "done")));
+  Start(RequestKind::kIdempotent, 3);
+  std::string response = SendRequest("GET");
+  EXPECT_TRUE(HasStatus(response, 200)) << response;
+  EXPECT_EQ(RetriesTaken(), 0);
+}
+
+TEST_F(SilentServersTest, IdempotentRequestIsNotSentToAFullServer) {
+  auto runs = std::make_shared<std::atomic<int>>(0);
+  FakeServer::Action late = [=, this](const HttpRequest& request,
+                                      auto responder) {
+    for (const char* id : {"server-0", "server-1"}) {
+      context_.load.Charge(id, LoadCharge{4, 0, 0});
+    }
+    if ((*runs)++ == 0) {
+      Delayed(io_, kSilence, RespondWith(http::status::ok, "done"))(request,
+                                                                    responder);
+    } else {
+      RespondNotExecuted()(request, responder);
+    }
+  };
+  AddServer(ServerStage::kCombined, late);
+  AddServer(ServerStage::kCombined, late);
+  Start(RequestKind::kIdempotent, 3);
+  std::string response = SendRequest("GET");
+  EXPECT_TRUE(HasStatus(response, 200)) << response;
+  EXPECT_EQ(RetriesTaken(), 0);
+}
+
+// All copies of a plain service are silent at the same moment.
+TEST_F(SilentServersTest, ServiceWhoseServersAreAllSilentIsNotRefused) {
+  for (int i = 0; i < 3; ++i) {
+    AddServer(ServerStage::kCombined,
+              Delayed(io_, kSilence, RespondWith(http::status::ok, "done")));
+  }
+  Start(RequestKind::kIdempotent, 3);
+  std::vector<std::future<std::string>> responses;
+  for (int i = 0; i < 10; ++i) {
+    responses.push_back(
+        std::async(std::launch::async, [this] { return SendRequest("GET"); }));
+    std::this_thread::sleep_for(Millis(100));
+  }
+  for (auto& response : responses) {
+    std::string received = response.get();
+    EXPECT_TRUE(HasStatus(received, 200)) << received;
+  }
+}
+
 }  // namespace
 }  // namespace mangoyoke
