Fix: 503 while the prefill server is silent and the budget is used up

A prefill whose server was silent for longer than its timeout was closed. With the retry budget used up the caller got 503 though the prefill would have been done soon; its work was wasted. Now it is closed only if there is budget, and another usable prefill server or a decode server that can prefill the prompt itself; else the request keeps waiting and asks again.

SilentServersTest.PrefillIsWaitedForIfTheRetryBudgetIsUsedUp on the code before: outcome=no_backend status=503 ms=390.3 why="prefill of the prompt failed and the retry budget is used up"

--- a/src/gateway/traffic/engine_prefill.cc
+++ b/src/gateway/traffic/engine_prefill.cc
@@ -39,11 +39,13 @@
          static_cast<double>(input_.caller_request.prompt_tokens);
 }
 
-PlacementChoice EngineRequest::ChoosePrefillServer() {
+PlacementChoice EngineRequest::ChoosePrefillServer(
+    std::set<BackendId> excluded) {
   PlacementQuery query;
   query.stage = ServerStage::kPrefill;
   query.prompt_tokens = input_.caller_request.prompt_tokens;
-  query.excluded = failed_prefills_;
+  query.excluded = std::move(excluded);
+  query.excluded.insert(failed_prefills_.begin(), failed_prefills_.end());
   if (decode_server_) {
     query.preferred_zone = decode_server_->zone;  // The KV cache is sent there.
   }
@@ -91,6 +93,9 @@
   options.prefill_only = true;
   AttemptCallbacks callbacks;
   prefill_server_idle_ = choice.load.prompt_tokens == 0;
+  callbacks.on_timeout = [this, server = *choice.server] {
+    return KeepWaiting(server, PrefillMoveObstacle(server));
+  };
   callbacks.on_end = [this, server = *choice.server](AttemptOutcome outcome) {
     OnPrefillEnd(server, std::move(outcome));
   };
@@ -101,6 +106,26 @@
   StartAttempt(*choice.server, options, charge, timeout, std::move(callbacks));
 }
 
+MoveObstacle EngineRequest::PrefillMoveObstacle(const BackendServer& server) {
+  if (TimeLeft() <= FromMillis(PrefillMillis() + kFirstEventMs)) {
+    return MoveObstacle::kNoTime;
+  }
+  if (!RetryAllowed()) {
+    return MoveObstacle::kBudget;
+  }
+  PlacementChoice choice = ChoosePrefillServer({server.id});
+  bool room = false;
+  if (choice.server != nullptr && prefills_ + 1 < kMaxPrefills) {
+    room = choice.usable;
+  } else if (decode_server_) {
+    // The decode server prefills the prompt itself; a second concurrent prefill
+    // would stall its streams.
+    TimePoint now = SteadyClock::now();
+    room = context_.load.At(decode_server_->id, now).prompt_tokens == 0;
+  }
+  return room ? MoveObstacle::kNone : MoveObstacle::kNoRoom;
+}
+
 void EngineRequest::OnPrefillEnd(const BackendServer& server,
                                  AttemptOutcome outcome) {
   RecordServerOutcome(server, outcome, 0);
@@ -134,12 +159,7 @@
         .Field("why", std::get<Error>(decoded).detail);
   }
   failed_prefills_.insert(server.id);
-  bool repeat = TryAcquireRetry();
-  if (outcome.timed_out) {
-    LogSilence(repeat ? "retried" : "given_up",
-               repeat ? MoveObstacle::kNone : MoveObstacle::kBudget);
-  }
-  if (!repeat) {
+  if (!TryAcquireRetry()) {
     FailRequest(ErrorCode::kNoBackend,
                 "prefill of the prompt failed and the retry budget is used up");
     return;
--- a/src/gateway/traffic/engine_request.h
+++ b/src/gateway/traffic/engine_request.h
@@ -68,7 +68,8 @@
   void LogAdmissionWait(const PlacementChoice& choice);
   // `excluded`: servers besides those that failed the request.
   PlacementChoice ChooseDecodeServer(std::set<BackendId> excluded = {});
-  PlacementChoice ChoosePrefillServer();
+  // `excluded`: servers besides those that failed the prefill.
+  PlacementChoice ChoosePrefillServer(std::set<BackendId> excluded = {});
   // Estimated prefill time of the prompt at a prefill server, without queueing,
   // in milliseconds.
   double PrefillMillis() const;
@@ -94,6 +95,8 @@
   // Starts the prefill, or goes on to decode if there is nothing to prefill at
   // a prefill server.
   void Prefill();
+  // Why the prefill may not be taken from the silent `server` now.
+  MoveObstacle PrefillMoveObstacle(const BackendServer& server);
   void OnPrefillEnd(const BackendServer& server, AttemptOutcome outcome);
   // Frees the prefill result at its server and forgets the KV handle.
   void DropHandle();
--- a/tests/unit/silent_servers_test.cc
+++ b/tests/unit/silent_servers_test.cc
@@ -248,6 +248,19 @@
   EXPECT_EQ(RetriesTaken(), 0);
 }
 
+TEST_F(SilentServersTest, PrefillIsWaitedForIfTheRetryBudgetIsUsedUp) {
+  FakeServer::Action late =
+      Delayed(io_, kSilence * 2, RespondWithKvHandle("h1"));
+  AddServer(ServerStage::kPrefill, late);
+  AddServer(ServerStage::kPrefill, late);
+  AddServer(ServerStage::kDecode, StreamEvents(io_, 1, 4, true));
+  Start(RequestKind::kStreaming, 3);
+  UseUpRetryBudget();
+  std::string response = SendRequest();
+  EXPECT_TRUE(IsWholeStream(response)) << response;
+  EXPECT_EQ(RequestsFrom(0), 2);
+}
+
 // All copies of a plain service are silent at the same moment.
 TEST_F(SilentServersTest, ServiceWhoseServersAreAllSilentIsNotRefused) {
   for (int i = 0; i < 3; ++i) {
