Fix: stream was moved after three target gaps of silence

A resumable stream was taken from its server after three target gaps, some 300 ms. Its target gap is missed by then, so the move helps no caller; it costs a prefill and a retry that a stream of a broken server needs, breaks off a sound server's work, and may end the stream if the next server refuses it. A sound server may be silent for a second or so.

What the caller is still promised is the whole stream before it abandons it: after a gap of 2 s, four target latencies or eight target gaps, whichever is longest. A silent stream is now moved after 0.6 of that gap, at least 1.2 s, or half of the time left until its deadline. The rest of the gap is at least 1.6 target latencies, enough for a prefill and the next event. The timeout before the first event stays, since a move can still meet the target latency there.

StreamOfAServerThatStaysSilentMovesInTime shows that a server which has gone does not cost the stream.

--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -15,12 +15,28 @@
 // by more than a step.
 constexpr int64_t kKvChargeStep = 64;
 constexpr int kMaxResumes = 3;
-// Event timeout of a stream that may still be resumed at another server, after
-// which it is resumed there if that is possible: this many times the target
-// gap, or before the first event this part of the target latency.
-constexpr double kGapTimeoutFactor = 3;
+// Callers abandon a stream after a gap of the longest of these: a fixed time,
+// this many target latencies, this many target gaps.
+constexpr Duration kAbandonGap = Seconds(2);
+constexpr int kAbandonTargetLatencies = 4;
+constexpr int kAbandonTargetGaps = 8;
+// A stream that may still be resumed at another server is moved there after
+// this share of that gap. The rest of it is at least 1.6 target latencies,
+// which is enough for a prefill and the next event. To move it sooner helps no
+// caller, since its target gap is missed by then.
+constexpr double kMoveGapShare = 0.6;
+// The same as a share of the time left until the deadline.
+constexpr double kMoveTimeShare = 0.5;
+// Before the first event it is moved after this part of the target latency.
 constexpr double kFirstEventTimeoutFactor = 0.7;
 
+// How long a caller waits for the next event of a stream.
+Duration AbandonGap(const RouteRule& route) {
+  return std::max<Duration>({kAbandonGap,
+                             kAbandonTargetLatencies * route.target_latency,
+                             kAbandonTargetGaps * route.target_gap});
+}
+
 }  // namespace
 
 void EngineRequest::Decode() {
@@ -39,13 +55,13 @@
   if (!can_resume) {
     return left;
   }
-  double timeout_ms =
-      framer_.started()
-          ? kGapTimeoutFactor *
-                static_cast<double>(input_.route->target_gap.count())
-          : kFirstEventTimeoutFactor *
-                static_cast<double>(input_.route->target_latency.count());
-  return std::min(left, FromMillis(timeout_ms));
+  if (framer_.started()) {
+    return std::min(
+        FromMillis(kMoveTimeShare * ToMillis(left)),
+        FromMillis(kMoveGapShare * ToMillis(AbandonGap(*input_.route))));
+  }
+  return std::min(left, FromMillis(kFirstEventTimeoutFactor *
+                                   ToMillis(input_.route->target_latency)));
 }
 
 void EngineRequest::StartDecode(const BackendServer& server) {
--- a/tests/unit/silent_servers_test.cc
+++ b/tests/unit/silent_servers_test.cc
@@ -205,6 +205,17 @@
   EXPECT_EQ(RetriesTaken(), 1);
 }
 
+// Both the gap target is missed and the work so far is lost by a move, while
+// the caller still waits.
+TEST_F(SilentServersTest, StreamIsNotMovedForASecondOfSilence) {
+  AddEngines(2, StreamWithSilence(io_, kSilence));
+  Start(RequestKind::kStreaming, 3);
+  std::string response = SendRequest();
+  EXPECT_TRUE(IsWholeStream(response)) << response;
+  EXPECT_EQ(RequestsFrom(1), 1);
+  EXPECT_EQ(RetriesTaken(), 0);
+}
+
 TEST_F(SilentServersTest, IdempotentRequestIsAnsweredThoughTheBudgetIsUsedUp) {
   FakeServer::Action late =
       Delayed(io_, kSilence, RespondWith(http::status::ok, "done"));
@@ -261,6 +272,24 @@
   EXPECT_EQ(RequestsFrom(0), 2);
 }
 
+// A server that has gone must not cost the stream either: the caller waits for
+// two seconds for the next event.
+TEST_F(SilentServersTest, StreamOfAServerThatStaysSilentMovesInTime) {
+  auto decodes = std::make_shared<std::atomic<int>>(0);
+  AddEngines(2, [=, this](const HttpRequest& request, auto responder) {
+    if ((*decodes)++ == 0) {
+      StreamWithSilence(io_, kRouteTimeout)(request, responder);
+    } else {
+      StreamEvents(io_, 3, 4, true)(request, responder);
+    }
+  });
+  Start(RequestKind::kStreaming, 3);
+  TimePoint start = SteadyClock::now();
+  std::string response = SendRequest();
+  EXPECT_TRUE(IsWholeStream(response)) << response;
+  EXPECT_LT(SteadyClock::now() - start, Millis(1800));
+}
+
 // All copies of a plain service are silent at the same moment.
 TEST_F(SilentServersTest, ServiceWhoseServersAreAllSilentIsNotRefused) {
   for (int i = 0; i < 3; ++i) {
