Fix: new requests were refused after their silent servers had gone on

A silent server is avoided for 0.4 s, and for twice as long each time that it is silent again soon after, up to 3 s. If all decode servers of a service are silent at once, model requests wait until one is usable, and are refused with 429 within their target latency, though the servers went on long before.

A request that was kept waiting shows when its server goes on: by its next event or its response. That now ends the avoidance, if nothing but silence caused it, and the next one begins short again. Plain services were not concerned: if all servers are avoided, placement chooses among them.

SilentServersTest.NewRequestsAreNotRefusedOnceTheServerHasGoneOn on the code before: outcome=deadline_expired status=429 ms=297.5 why="no engine has room"

--- a/src/gateway/core/server_health.cc
+++ b/src/gateway/core/server_health.cc
@@ -81,6 +81,9 @@
   if (outcome == ServerOutcome::kSuccess) {
     return;
   }
+  bool avoided = now < record.avoid_until;
+  record.only_silent =
+      outcome == ServerOutcome::kTimeout && (record.only_silent || !avoided);
   if (outcome == ServerOutcome::kPaused) {
     // What the server says replaces what was inferred from its failures.
     record.avoid_until = now;
@@ -98,6 +101,24 @@
       .Field("avoid_ms", std::max(0.0, ToMillis(record.avoid_until - now)));
 }
 
+void ServerHealth::RecordEndOfSilence(const BackendServer& server,
+                                      TimePoint now) {
+  auto found = records_.find(server.id);
+  if (found == records_.end() || !found->second.only_silent ||
+      found->second.start_time_ms != server.start_time_ms) {
+    return;
+  }
+  HealthRecord& record = found->second;
+  if (now >= record.avoid_until) {
+    return;
+  }
+  LogEvent("server_silence_over")
+      .Field("server", server.id)
+      .Field("avoid_ms", ToMillis(record.avoid_until - now));
+  record.avoid_until = now;
+  record.avoid_time = Duration::zero();
+}
+
 const ServerHealth::HealthRecord* ServerHealth::Find(
     const BackendServer& server) const {
   auto found = records_.find(server.id);
--- a/src/gateway/core/server_health.h
+++ b/src/gateway/core/server_health.h
@@ -38,6 +38,10 @@
                      double slowness,
                      TimePoint now);
 
+  // A server that was recorded as silent has gone on. Ends the avoidance if
+  // nothing but silence caused it.
+  void RecordEndOfSilence(const BackendServer& server, TimePoint now);
+
   // Whether the server may get requests now, that is, is not avoided.
   bool Usable(const BackendServer& server, TimePoint now) const;
   // Share of recent attempts that failed, in [0, 1]; 0 if nothing is known.
@@ -56,6 +60,7 @@
     TimePoint updated{};        // Time of the last recorded outcome.
     TimePoint avoid_until{};    // End of the last avoidance.
     Duration avoid_time{};      // Length of the last avoidance.
+    bool only_silent = true;    // No other failure since the last avoidance.
   };
 
   // The record of this incarnation of the server; null if there is none.
--- a/src/gateway/traffic/active_request.cc
+++ b/src/gateway/traffic/active_request.cc
@@ -269,7 +269,13 @@
 
 void ActiveRequest::RecordProgress() {
   last_progress_ = SteadyClock::now();
-  silence_known_ = false;
+  if (!std::exchange(silence_known_, false)) {
+    return;
+  }
+  const BackendServer* server = context_.servers->Find(last_server_);
+  if (server != nullptr) {
+    context_.health.RecordEndOfSilence(*server, last_progress_);
+  }
 }
 
 bool ActiveRequest::TryAcquireRetry() {
@@ -330,7 +336,8 @@
   full_options.timeout = ServerTimeout();
   last_server_ = server.id;
   last_stage_ = server.stage;
-  RecordProgress();
+  last_progress_ = SteadyClock::now();
+  silence_known_ = false;
   attempt_ = std::make_unique<ServerAttempt>(context_, server, charge);
   attempt_->Start(context_.backends.EncodeRequest(
                       input_.request, input_.caller_request, full_options),
@@ -359,6 +366,7 @@
   context_.health.RecordOutcome(server, server_outcome, slowness,
                                 SteadyClock::now());
   if (server_outcome == ServerOutcome::kSuccess) {
+    RecordProgress();
     return;
   }
   LoadCharge load = context_.load.At(server.id, SteadyClock::now());
--- a/src/gateway/traffic/active_request.h
+++ b/src/gateway/traffic/active_request.h
@@ -152,7 +152,7 @@
   void RecordServerOutcome(const BackendServer& server,
                            const AttemptOutcome& outcome,
                            double slowness);
-  // An event of the current attempt arrived.
+  // An event or the response of the current attempt arrived.
   void RecordProgress();
   // Logs `attempt_silent`: the timeout of the last attempt ended while its
   // server was silent. `decision`: what becomes of the request; `obstacle`: why
--- a/tests/unit/silent_servers_test.cc
+++ b/tests/unit/silent_servers_test.cc
@@ -290,6 +290,29 @@
   EXPECT_LT(SteadyClock::now() - start, Millis(1800));
 }
 
+// The only decode server is silent twice in a row, so that it would be avoided
+// until long after it has gone on.
+TEST_F(SilentServersTest, NewRequestsAreNotRefusedOnceTheServerHasGoneOn) {
+  TimePoint start = SteadyClock::now();
+  TimePoint goes_on = start + Millis(1100);
+  AddEngines(1, [this, goes_on](const HttpRequest& request, auto responder) {
+    Duration left = goes_on - SteadyClock::now();
+    Delayed(io_, std::max<Duration>(left, Millis(0)),
+            StreamEvents(io_, 1, 4, true))(request, responder);
+  });
+  Start(RequestKind::kStreaming, 3);
+  std::vector<std::future<std::string>> responses;
+  for (Millis at : {Millis(0), Millis(720), Millis(1200)}) {
+    std::this_thread::sleep_until(start + at);
+    responses.push_back(
+        std::async(std::launch::async, [this] { return SendRequest(); }));
+  }
+  for (auto& response : responses) {
+    std::string received = response.get();
+    EXPECT_TRUE(IsWholeStream(received)) << received;
+  }
+}
+
 // All copies of a plain service are silent at the same moment.
 TEST_F(SilentServersTest, ServiceWhoseServersAreAllSilentIsNotRefused) {
   for (int i = 0; i < 3; ++i) {
