Fix: answer was lost if the server's host was silent for a second

With TCP_USER_TIMEOUT set, Linux ignores the number of keep-alive probes: it ends a connection once its peer was silent for that time and a probe is out. With 1.5 s and probes each second, a host that confirmed nothing for 1.1 s after the request was ended at 2 s, though it was back. The same limit holds for a full socket: a server that read nothing of a long body for 1.5 s lost the connection. The request had been passed on; callers of routes without retries got 502, and streams were cut.

Towards servers the limit is 4 s now. Connections to callers keep theirs. A host that is gone is noticed after 4 to 5 s; requests that may be sent again do not wait for that.

--- a/src/gateway/net/http_connection.cc
+++ b/src/gateway/net/http_connection.cc
@@ -14,8 +14,10 @@
 // The server's host accepts a connection within a few round trips, so a longer
 // wait means that it is unreachable.
 constexpr Duration kConnectTimeout = Millis(300);
-// The connection fails if written bytes stay unacknowledged this long.
-constexpr Millis kUnackedTimeout{1500};
+// The connection fails if the server's host does not respond this long, or a
+// full socket of the server takes no bytes this long. A sound host or server
+// may be silent for a second or so.
+constexpr Millis kUnackedTimeout{4000};
 constexpr size_t kReadBytes = 8 << 10;
 // Limits for a server that sends bytes without end that are no response:
 // interim responses and responses to earlier requests in one exchange, with
--- a/src/gateway/net/sockets.h
+++ b/src/gateway/net/sockets.h
@@ -23,7 +23,8 @@
 
 // Disables Nagle's algorithm, and makes the kernel fail the connection if
 // written bytes stay unacknowledged for `unacked_timeout` or an idle peer does
-// not respond to keep-alive probes.
+// not respond to keep-alive probes. Linux applies `unacked_timeout` to these
+// probes and to those of a full socket too.
 void PrepareSocket(Tcp::socket& socket, Millis unacked_timeout);
 
 }  // namespace mangoyoke
