Fix: stream of a caller that reads slowly was taken from its server

While a caller does not read, the gateway stops reading from the server. The event timeout went on meanwhile, so the gateway's own pause counted as the server's silence: the stream was moved, or cut if that was not possible. The timeout now rests while the exchange is paused and begins anew with the reading. The request's own deadline still holds.

--- a/src/gateway/net/timed_exchange.cc
+++ b/src/gateway/net/timed_exchange.cc
@@ -48,7 +48,14 @@
 }
 
 void TimedExchange::SetTimeout(Duration timeout) {
-  timer_.expires_after(timeout);
+  timeout_ = timeout;
+  if (!paused_) {
+    StartTimer();
+  }
+}
+
+void TimedExchange::StartTimer() {
+  timer_.expires_after(timeout_);
   timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](
                         const boost::system::error_code& error) {
     if (error || alive.expired() || !connection_ ||
@@ -79,8 +86,15 @@
 }
 
 void TimedExchange::SetPaused(bool paused) {
-  if (connection_) {
-    connection_->SetPaused(paused);
+  if (!connection_ || paused == paused_) {
+    return;
+  }
+  paused_ = paused;
+  connection_->SetPaused(paused);
+  if (paused) {
+    timer_.cancel();
+  } else {
+    StartTimer();
   }
 }
 
--- a/src/gateway/net/timed_exchange.h
+++ b/src/gateway/net/timed_exchange.h
@@ -61,7 +61,8 @@
   void SetTimeout(Duration timeout);
   // Ends the exchange as kIncomplete. Calls on_end before it returns.
   void Abort();
-  // Pauses or resumes reading of the response, to apply backpressure.
+  // Pauses or resumes reading of the response, to apply backpressure. The
+  // timeout does not run while paused.
   void SetPaused(bool paused);
 
   void OnHead(const http::response_header<>& head) override;
@@ -69,6 +70,7 @@
   void OnEnd(ExchangeResult result) override;
 
  private:
+  void StartTimer();
   void OnTimeout();
 
   boost::asio::io_context& io_;
@@ -79,6 +81,8 @@
   ExchangeCallbacks callbacks_;
   ExchangeOutcome outcome_;
   bool stream_body_ = false;  // The body goes to on_data.
+  bool paused_ = false;
+  Duration timeout_{};  // Set last.
   TimePoint started_{};
   // Expires with this object; queued handlers check it before they access the
   // object.
--- a/tests/unit/silent_servers_test.cc
+++ b/tests/unit/silent_servers_test.cc
@@ -332,5 +332,43 @@
   }
 }
 
+// While the caller does not read, the gateway does not read from the server
+// either, which is not the server's silence.
+TEST_F(SilentServersTest, StreamOfACallerThatReadsLateStaysAtItsServer) {
+  constexpr int kEvents = 4000;
+  AddEngines(2, [](const HttpRequest& request, auto responder) {
+    http::response_header<> head;
+    head.result(200);
+    head.set(kRequestIdHeader, request[kRequestIdHeader]);
+    head.set(http::field::content_type, "text/event-stream");
+    responder->BeginStream(head);
+    for (int id = 1; id <= kEvents; ++id) {
+      responder->Write("id: " + std::to_string(id) +
+                       "\ndata: " + std::string(4000, 't') + "\n\n");
+    }
+    responder->EndStream();
+  });
+  Start(RequestKind::kStreaming, 3);
+  boost::asio::io_context io;
+  Tcp::socket socket(io, Tcp::v4());
+  socket.set_option(boost::asio::socket_base::receive_buffer_size(16 << 10));
+  socket.connect(
+      Tcp::endpoint(boost::asio::ip::address_v4::loopback(), kListenPort));
+  boost::asio::write(socket, boost::asio::buffer(std::string(
+                                 "POST /x HTTP/1.1\r\nHost: h\r\n"
+                                 "X-Mangoyoke-Request-Id: id-1\r\n"
+                                 "X-Mangoyoke-Token-Counts: 900,100\r\n"
+                                 "Connection: close\r\n\r\n")));
+  std::this_thread::sleep_for(2 * kSilence);
+  std::string received;
+  boost::system::error_code error;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+  EXPECT_NE(received.find("id: " + std::to_string(kEvents) + "\n"),
+            std::string::npos)
+      << received.size();
+  EXPECT_EQ(RequestsFrom(1), 1);
+  EXPECT_EQ(RetriesTaken(), 0);
+}
+
 }  // namespace
 }  // namespace mangoyoke
