--- a/src/gateway/net/timed_exchange.cc
+++ b/src/gateway/net/timed_exchange.cc
@@ -48,19 +48,36 @@
 }
 
 void TimedExchange::SetTimeout(Duration timeout) {
-  timer_.expires_after(timeout);
+  timeout_ = timeout;
+  if (!paused_) {
+    StartTimer();
+  }
+}
+
+void TimedExchange::StartTimer() {
+  timer_.expires_after(timeout_);
   timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](
                         const boost::system::error_code& error) {
     if (error || alive.expired() || !connection_ ||
         timer_.expiry() > SteadyClock::now()) {
       return;
     }
-    outcome_.timed_out = true;
-    connection_->Close();
-    OnEnd(ExchangeResult::kIncomplete);
+    OnTimeout();
   });
 }
 
+void TimedExchange::OnTimeout() {
+  if (callbacks_.on_timeout) {
+    if (std::optional<Duration> wait = callbacks_.on_timeout()) {
+      SetTimeout(*wait);
+      return;
+    }
+  }
+  outcome_.timed_out = true;
+  connection_->Close();
+  OnEnd(ExchangeResult::kIncomplete);
+}
+
 void TimedExchange::Abort() {
   if (connection_) {
     connection_->Close();
@@ -69,8 +86,15 @@
 }
 
 void TimedExchange::SetPaused(bool paused) {
-  if (connection_) {
-    connection_->SetPaused(paused);
+  if (!connection_ || paused == paused_) {
+    return;
+  }
+  paused_ = paused;
+  connection_->SetPaused(paused);
+  if (paused) {
+    timer_.cancel();
+  } else {
+    StartTimer();
   }
 }
 
--- a/src/gateway/traffic/active_request.cc
+++ b/src/gateway/traffic/active_request.cc
@@ -25,6 +25,8 @@
 // while, as a share of that time.
 constexpr double kPauseSpreadShare = 0.5;
 constexpr unsigned kServerErrors = 500;
+// How often a request at a silent server looks for another server.
+constexpr Duration kAskAgainAfter = Millis(250);
 
 // The outcome of an attempt, as recorded for the health of its server.
 ServerOutcome ServerOutcomeOf(const AttemptOutcome& outcome) {
@@ -48,6 +50,26 @@
 
 }  // namespace
 
+std::string_view MoveObstacleName(MoveObstacle obstacle) {
+  switch (obstacle) {
+    case MoveObstacle::kNone:
+      return "";
+    case MoveObstacle::kRoute:
+      return "route";
+    case MoveObstacle::kMaxServers:
+      return "max_servers";
+    case MoveObstacle::kMaxResumes:
+      return "max_resumes";
+    case MoveObstacle::kNoTime:
+      return "no_time";
+    case MoveObstacle::kBudget:
+      return "budget";
+    case MoveObstacle::kNoRoom:
+      return "no_room";
+  }
+  return "";
+}
+
 void ActiveRequestTable::Add(std::unique_ptr<ActiveRequest> request) {
   uint64_t id = request->id();
   requests_.emplace(id, std::move(request)).first->second->Start();
@@ -115,6 +137,9 @@
   if (ended_) {
     return;
   }
+  if (attempt_) {
+    LogSilence("given_up", MoveObstacle::kNoTime);
+  }
   if (streaming_) {
     AbortStream(ErrorCode::kBackendTimeout, why);
   } else if (possible_executions_ == 0 && !attempt_) {
@@ -227,7 +252,43 @@
   table_.ScheduleRemoval(id_);
 }
 
+bool ActiveRequest::RetryAllowed() const {
+  return context_.retry_budget.Allows(input_.service, SteadyClock::now());
+}
+
+std::optional<Duration> ActiveRequest::KeepWaiting(const BackendServer& server,
+                                                   MoveObstacle obstacle) {
+  if (obstacle == MoveObstacle::kNone && !TryAcquireRetry()) {
+    obstacle = MoveObstacle::kBudget;
+  }
+  if (obstacle == MoveObstacle::kNone) {
+    retry_taken_ = true;
+    LogSilence("moved", obstacle);
+    return std::nullopt;
+  }
+  if (!std::exchange(silence_known_, true)) {
+    LogSilence("kept_waiting", obstacle);
+    context_.health.RecordOutcome(server, ServerOutcome::kTimeout, 0,
+                                  SteadyClock::now());
+  }
+  return kAskAgainAfter;
+}
+
+void ActiveRequest::RecordProgress() {
+  last_progress_ = SteadyClock::now();
+  if (!std::exchange(silence_known_, false)) {
+    return;
+  }
+  const BackendServer* server = context_.servers->Find(last_server_);
+  if (server != nullptr) {
+    context_.health.RecordEndOfSilence(*server, last_progress_);
+  }
+}
+
 bool ActiveRequest::TryAcquireRetry() {
+  if (std::exchange(retry_taken_, false)) {
+    return true;
+  }
   if (context_.retry_budget.TryAcquire(input_.service, SteadyClock::now())) {
     context_.metrics.Increment("mangoyoke_repeats_total");
     return true;
@@ -281,6 +342,9 @@
   full_options.server = &server;
   full_options.timeout = ServerTimeout();
   last_server_ = server.id;
+  last_stage_ = server.stage;
+  last_progress_ = SteadyClock::now();
+  silence_known_ = false;
   attempt_ = std::make_unique<ServerAttempt>(context_, server, charge);
   attempt_->Start(context_.backends.EncodeRequest(
                       input_.request, input_.caller_request, full_options),
@@ -289,6 +353,19 @@
                   timeout, std::move(callbacks));
 }
 
+void ActiveRequest::LogSilence(std::string_view decision,
+                               MoveObstacle obstacle) const {
+  LogEvent("attempt_silent", LogLevel::kWarning)
+      .Field("request", input_.caller_request.id)
+      .Field("server", last_server_)
+      .Field("stage", StageName(last_stage_))
+      .Field("ms", ToMillis(SteadyClock::now() - last_progress_))
+      .Field("events", EventsReceived())
+      .Field("left_ms", ToMillis(TimeLeft()))
+      .Field("decision", decision)
+      .Field("why", MoveObstacleName(obstacle));
+}
+
 void ActiveRequest::RecordServerOutcome(const BackendServer& server,
                                         const AttemptOutcome& outcome,
                                         double slowness) {
@@ -296,6 +373,7 @@
   context_.health.RecordOutcome(server, server_outcome, slowness,
                                 SteadyClock::now());
   if (server_outcome == ServerOutcome::kSuccess) {
+    RecordProgress();
     return;
   }
   LoadCharge load = context_.load.At(server.id, SteadyClock::now());
--- a/src/gateway/traffic/active_request.h
+++ b/src/gateway/traffic/active_request.h
@@ -26,6 +26,20 @@
 
 class ActiveRequest;
 
+// Why a request may not go on at another server.
+enum class MoveObstacle {
+  kNone,        // It may.
+  kRoute,       // The route allows one execution only.
+  kMaxServers,  // No further server may execute it.
+  kMaxResumes,  // Its stream was resumed too often.
+  kNoTime,      // Its deadline is too close.
+  kBudget,      // The retry budget is used up.
+  kNoRoom,      // No other server has room, as far as known.
+};
+
+// The name of `obstacle` in logs; empty for kNone.
+std::string_view MoveObstacleName(MoveObstacle obstacle);
+
 // All active requests by id. Ids are never reused.
 class ActiveRequestTable {
  public:
@@ -86,6 +100,8 @@
   virtual void OnTimeout();
   // Adds the fields of the derived class to the `request_end` log line.
   virtual void AddLogFields(LogEvent& line) const;
+  // Events of a stream received so far.
+  virtual int64_t EventsReceived() const { return 0; }
 
   // Time until the request's deadline; negative once it has passed.
   Duration TimeLeft() const;
@@ -113,9 +129,17 @@
   // Ends the request without a response, as the caller is gone.
   void EndWithoutResponse(std::string_view outcome);
 
-  // Takes one retry from the service's retry budget. Returns false if the
-  // budget is used up.
+  // Takes one retry from the service's retry budget, unless KeepWaiting has
+  // taken it. Returns false if the budget is used up.
   bool TryAcquireRetry();
+  // Whether the retry budget has a retry left. Takes none.
+  bool RetryAllowed() const;
+  // `server` was silent for the timeout of the current attempt. `obstacle`: why
+  // the request may not go to another server now. If it may, takes a retry for
+  // that and returns nothing: the attempt has to be ended. Else returns the
+  // time after which to ask again; until then the server may go on.
+  std::optional<Duration> KeepWaiting(const BackendServer& server,
+                                      MoveObstacle obstacle);
   // Chooses a server of the request's service, without the excluded servers.
   PlacementChoice ChooseServer(PlacementQuery query);
   // Whether `server` has not said that it wants no new requests.
@@ -133,6 +157,12 @@
   void RecordServerOutcome(const BackendServer& server,
                            const AttemptOutcome& outcome,
                            double slowness);
+  // An event or the response of the current attempt arrived.
+  void RecordProgress();
+  // Logs `attempt_silent`: the timeout of the last attempt ended while its
+  // server was silent. `decision`: what becomes of the request; `obstacle`: why
+  // it does not go to another server.
+  void LogSilence(std::string_view decision, MoveObstacle obstacle) const;
   // Returns a callback that calls `action` on this request, or does nothing if
   // the request is no longer in the table.
   template <typename Request>
@@ -164,7 +194,13 @@
   TimePoint arrived_;
   TimePoint deadline_;
   boost::asio::steady_timer timer_;
+  bool retry_taken_ = false;  // By KeepWaiting, and not yet used.
+  // The silence of the current attempt was logged and recorded.
+  bool silence_known_ = false;
   BackendId last_server_;
+  ServerStage last_stage_ = ServerStage::kCombined;
+  // Start of the current attempt or its last event, whichever is later.
+  TimePoint last_progress_{};
 };
 
 }  // namespace mangoyoke
--- a/src/gateway/traffic/engine_request.h
+++ b/src/gateway/traffic/engine_request.h
@@ -48,6 +48,7 @@
 
   void Begin() override;
   void AddLogFields(LogEvent& line) const override;
+  int64_t EventsReceived() const override { return framer_.event_count(); }
 
   // Whether the target latency could not be met any more when the request
   // arrived, because of the caller's earlier tries.
@@ -65,8 +66,10 @@
   // Logs `admission_wait` once: the figures of the best server, for which the
   // request has to wait.
   void LogAdmissionWait(const PlacementChoice& choice);
-  PlacementChoice ChooseDecodeServer();
-  PlacementChoice ChoosePrefillServer();
+  // `excluded`: servers besides those that failed the request.
+  PlacementChoice ChooseDecodeServer(std::set<BackendId> excluded = {});
+  // `excluded`: servers besides those that failed the prefill.
+  PlacementChoice ChoosePrefillServer(std::set<BackendId> excluded = {});
   // Estimated prefill time of the prompt at a prefill server, without queueing,
   // in milliseconds.
   double PrefillMillis() const;
@@ -92,6 +95,8 @@
   // Starts the prefill, or goes on to decode if there is nothing to prefill at
   // a prefill server.
   void Prefill();
+  // Why the prefill may not be taken from the silent `server` now.
+  MoveObstacle PrefillMoveObstacle(const BackendServer& server);
   void OnPrefillEnd(const BackendServer& server, AttemptOutcome outcome);
   // Frees the prefill result at its server and forgets the KV handle.
   void DropHandle();
@@ -114,6 +119,11 @@
   void OnDecodeNotExecuted();
   // The stream broke or the server failed: resumes or ends the request.
   void OnDecodeFailed(bool timed_out);
+  // Why the stream may not be resumed at another server, apart from the retry
+  // budget, when `executions` servers may have executed it.
+  MoveObstacle ResumeObstacle(int executions) const;
+  // Why the stream may not be taken from the silent `server` now.
+  MoveObstacle DecodeMoveObstacle(const BackendServer& server);
   // Ends the request with an error. `code` is replaced if a server may have
   // executed the request, since `code` may say that none did. `earliest`: see
   // SendErrorResponse.
@@ -131,7 +141,7 @@
   // Adds a load charge for this request at `server`; replaces the last one.
   void ChargeLoad(const BackendId& server);
   void ReleaseLoad();
-  // How long the decode attempt may take until its next event.
+  // How long the decode server may be silent before another one is looked for.
   Duration EventTimeout() const;
   // Null if the service has no engine data in the configuration.
   const EngineSpec* Engine() const;
