A connection to a server carries one exchange at most for a request id

A faulty server wrote an earlier refusal once more where the answer to the next try of the same request was due. Callers were told "not run, try again" for a request that the server was running, or the request was sent a second time.

Responses are matched by the request id only, and a later try of a request bears the same id, so on the same kept connection the copy matched. The connection now remembers the ids (hashes) that it has carried, and the pool takes another connection for a request that it has carried before. Nothing is forgotten: after 1024 ids a connection is closed. The ordinary request costs no new connection (OrdinaryRequestsShareOneConnection). The line connection_avoided tells when one was passed over.

--- a/src/gateway/net/connection_pool.cc
+++ b/src/gateway/net/connection_pool.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "base/log.h"
+
 namespace mangoyoke {
 namespace {
 
@@ -41,24 +43,43 @@
   return ToMillis(connection.IdleTime(now)) < max_idle_ms;
 }
 
-std::shared_ptr<HttpConnection> ConnectionPool::Take(const std::string& address,
-                                                     bool avoid_stale) {
+std::shared_ptr<HttpConnection> ConnectionPool::TakeIdle(
+    const std::string& address,
+    const std::string& request_id,
+    bool avoid_stale) {
   TimePoint now = SteadyClock::now();
   auto& connections = idle_[address];
-  while (!connections.empty()) {
-    std::shared_ptr<HttpConnection> connection = connections.back();
-    if (IsUsable(*connection, avoid_stale, now)) {
-      connections.pop_back();
-      connection->SetIdleCloseCallback(nullptr);
-      return connection;
+  for (size_t i = connections.size(); i > 0; --i) {
+    std::shared_ptr<HttpConnection> connection = connections[i - 1];
+    if (!IsUsable(*connection, false, now)) {
+      connection->Close();
+      connections.erase(connections.begin() + static_cast<ptrdiff_t>(i) - 1);
+      continue;
     }
-    if (IsUsable(*connection, false, now)) {
+    if (!IsUsable(*connection, avoid_stale, now)) {
       // The remaining connections have been idle longer. Keep them for requests
       // without `avoid_stale`.
       break;
     }
-    connection->Close();
-    connections.pop_back();
+    if (connection->HasCarried(request_id)) {
+      LogEvent("connection_avoided")
+          .Field("server", address)
+          .Field("request", request_id);
+      continue;
+    }
+    connections.erase(connections.begin() + static_cast<ptrdiff_t>(i) - 1);
+    connection->SetIdleCloseCallback(nullptr);
+    return connection;
+  }
+  return nullptr;
+}
+
+std::shared_ptr<HttpConnection> ConnectionPool::Take(
+    const std::string& address,
+    const std::string& request_id,
+    bool avoid_stale) {
+  if (auto connection = TakeIdle(address, request_id, avoid_stale)) {
+    return connection;
   }
   auto endpoint = ParseEndpoint(address);
   if (!Ok(endpoint)) {
--- a/src/gateway/net/connection_pool.h
+++ b/src/gateway/net/connection_pool.h
@@ -23,10 +23,12 @@
                  HttpConnection::RequestIdExtractor extract_request_id)
       : io_(io), extract_request_id_(std::move(extract_request_id)) {}
 
-  // Returns an idle connection to `address` ("IP:port"), or a new one that is
-  // not connected yet. With `avoid_stale`, skips connections that the server
-  // may be about to close. Returns null if the address cannot be parsed.
+  // Returns an idle connection to `address` ("IP:port") that has carried no
+  // exchange for `request_id`, or a new one that is not connected yet. With
+  // `avoid_stale`, skips connections that the server may be about to close.
+  // Returns null if the address cannot be parsed.
   std::shared_ptr<HttpConnection> Take(const std::string& address,
+                                       const std::string& request_id,
                                        bool avoid_stale);
   // Returns `connection` to the pool, or closes it if it is not reusable.
   void Return(const std::string& address,
@@ -46,6 +48,10 @@
   uint64_t opened() const { return opened_; }
 
  private:
+  // Removes the connection for Take from the idle ones. Null if there is none.
+  std::shared_ptr<HttpConnection> TakeIdle(const std::string& address,
+                                           const std::string& request_id,
+                                           bool avoid_stale);
   // Whether `connection` is reusable and idle for less than the permitted share
   // of the server's idle timeout.
   bool IsUsable(const HttpConnection& connection,
--- a/src/gateway/net/http_connection.cc
+++ b/src/gateway/net/http_connection.cc
@@ -2,6 +2,7 @@
 
 #include "gateway/net/http_connection.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
@@ -22,6 +23,13 @@
 // their bodies.
 constexpr int kMaxSkippedResponses = 16;
 constexpr size_t kMaxSkippedBytes = 1 << 20;
+// A connection is given up after this many exchanges with a request id, which
+// bounds the memory for the ids.
+constexpr size_t kMaxCarriedIds = 1024;
+
+size_t HashOf(const std::string& request_id) {
+  return std::hash<std::string>()(request_id);
+}
 
 // Parses "timeout=N" (seconds) in the value of a Keep-Alive header.
 std::optional<Duration> ParseKeepAliveTimeout(std::string_view value) {
@@ -61,6 +69,9 @@
   skipped_responses_ = 0;
   skipped_bytes_ = 0;
   ++exchanges_;
+  if (!request_id_.empty()) {
+    carried_ids_.push_back(HashOf(request_id_));
+  }
   ResetParser();
   if (connected_) {
     Write();
@@ -280,7 +291,13 @@
 
 bool HttpConnection::Reusable() const {
   return connected_ && !closed_ && observer_ == nullptr && keep_alive_ &&
-         !paused_;
+         !paused_ && carried_ids_.size() < kMaxCarriedIds;
+}
+
+bool HttpConnection::HasCarried(const std::string& request_id) const {
+  return !request_id.empty() &&
+         std::find(carried_ids_.begin(), carried_ids_.end(),
+                   HashOf(request_id)) != carried_ids_.end();
 }
 
 void HttpConnection::Close() {
--- a/src/gateway/net/http_connection.h
+++ b/src/gateway/net/http_connection.h
@@ -7,6 +7,8 @@
 // - Delivers only the response that echoes the request's id, or, in the first
 //   exchange of a connection, one without an id. Late responses to earlier
 //   requests on the connection are skipped.
+// - Carries one exchange at most for a request id, so that a response repeated
+//   by the server never matches a later try of the same request.
 // - Bounds what it keeps and skips, so that a server that sends bytes without
 //   end occupies neither memory nor the thread.
 
@@ -21,6 +23,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "gateway/core/codecs.h"
 #include "gateway/net/sockets.h"
@@ -77,6 +80,9 @@
   // Whether another exchange may follow: connected, idle, not paused, and the
   // server keeps the connection open.
   bool Reusable() const;
+  // Whether an exchange for `request_id` was started on this connection. Always
+  // false for the empty id.
+  bool HasCarried(const std::string& request_id) const;
   // Time since the last exchange completed.
   Duration IdleTime(TimePoint now) const { return now - idle_since_; }
   // The server's idle timeout, if its Keep-Alive header announced one.
@@ -123,6 +129,9 @@
   TimePoint idle_since_{};
   std::optional<Duration> server_idle_timeout_;
   int exchanges_ = 0;
+  // Hashes of the request ids of all exchanges. Two ids with the same hash only
+  // cost a new connection.
+  std::vector<size_t> carried_ids_;
   bool connected_ = false;
   bool closed_ = false;
   bool writing_ = false;     // A write is in progress; it reads request_.
--- a/src/gateway/net/timed_exchange.cc
+++ b/src/gateway/net/timed_exchange.cc
@@ -33,7 +33,7 @@
   started_ = SteadyClock::now();
   address_ = address;
   callbacks_ = std::move(callbacks);
-  connection_ = pool_.Take(address, avoid_stale);
+  connection_ = pool_.Take(address, request_id, avoid_stale);
   if (!connection_) {
     // The address cannot be parsed.
     boost::asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_)] {
--- /dev/null
+++ b/tests/unit/stale_responses_test.cc
@@ -0,0 +1,113 @@
+// Responses on kept connections to servers that belong to no request or to an
+// earlier one.
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <string>
+#include <vector>
+
+#include "gateway/net/timed_exchange.h"
+#include "tests/support/raw_server.h"
+
+namespace mangoyoke {
+namespace {
+
+std::string Answer(const std::string& status,
+                   const std::string& id,
+                   const std::string& body) {
+  std::string id_line = id.empty() ? "" : "Id: " + id + "\r\n";
+  return "HTTP/1.1 " + status + "\r\n" + id_line +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Exchanges on the pooled connections to one server.
+class StaleResponsesTest : public ::testing::Test {
+ protected:
+  StaleResponsesTest()
+      : pool_(io_, [](const http::response_header<>& head) {
+          return std::string(head["Id"]);
+        }) {}
+
+  // Sends a request and waits for the end of its exchange. What happens on the
+  // socket is looked at only after `pause`.
+  ExchangeOutcome Send(const RawServer& server,
+                       const std::string& id,
+                       Duration pause = Millis(0)) {
+    TimedExchange exchange(io_, pool_);
+    std::optional<ExchangeOutcome> outcome;
+    ExchangeCallbacks callbacks;
+    callbacks.on_end = [&](ExchangeOutcome ended) {
+      outcome = std::move(ended);
+    };
+    HttpRequest request(http::verb::get, "/", 11);
+    request.set("X-Mangoyoke-Request-Id", id);
+    exchange.Start(server.address(), std::move(request), id, false, Millis(500),
+                   std::move(callbacks));
+    std::this_thread::sleep_for(pause);
+    while (!outcome) {
+      io_.run_one();
+    }
+    return *outcome;
+  }
+
+  boost::asio::io_context io_;
+  ConnectionPool pool_;
+};
+
+const char kRefusal[] = "503 Full";
+
+// Answers every request properly, after `stale` bytes unless the request is the
+// first one on its connection.
+RawServer::Script AnswerAfter(std::string stale) {
+  return [stale](const RawRequest& request) {
+    return RawAnswer{(request.on_connection > 1 ? stale : "") +
+                     Answer("200 OK", request.id(),
+                            "answer " + std::to_string(request.number))};
+  };
+}
+
+// The server wrote the refusal of the first try once more where the answer to
+// the second try of the same request is due.
+TEST_F(StaleResponsesTest, CopyOfARefusalIsNotTheAnswerToTheNextTry) {
+  RawServer server(0, [](const RawRequest& request) {
+    return request.number == 1
+               ? RawAnswer{Answer(kRefusal, "a", "full")}
+               : AnswerAfter(Answer(kRefusal, "a", "full"))(request);
+  });
+  EXPECT_EQ(Send(server, "a").body, "full");
+  EXPECT_EQ(Send(server, "a").body, "answer 2");
+}
+
+TEST_F(StaleResponsesTest, CopyIsNotTakenAfterOtherRequestsEither) {
+  RawServer server(0, [](const RawRequest& request) {
+    return request.number < 4
+               ? AnswerAfter("")(request)
+               : AnswerAfter(Answer(kRefusal, "a", "full"))(request);
+  });
+  for (const char* id : {"a", "b", "c"}) {
+    Send(server, id);
+  }
+  EXPECT_EQ(Send(server, "a").body, "answer 4");
+}
+
+TEST_F(StaleResponsesTest, OrdinaryRequestsShareOneConnection) {
+  RawServer server(0, AnswerAfter(""));
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(Send(server, std::to_string(i)).result,
+              ExchangeResult::kComplete);
+  }
+  EXPECT_EQ(server.connections(), 1);
+}
+
+// The ids that a connection remembers are bounded, and none is forgotten.
+TEST_F(StaleResponsesTest, ConnectionEndsWithItsLastRememberedId) {
+  RawServer server(0, AnswerAfter(""));
+  for (int i = 0; i < 1025; ++i) {
+    Send(server, std::to_string(i));
+  }
+  EXPECT_EQ(server.connections(), 2);
+}
+
+}  // namespace
+}  // namespace mangoyoke
