A connection that brought a response to another request is not used again

A server that sends a response too many may send the next one too late, so the connection stays one response behind. It was used on. Now it is closed after the exchange in which a response to another request was skipped. Interim responses change nothing.

New lines: response_skipped (server, request, id of the response, status), and connection_given_up when bytes came that no request waits for.

On the old code: ConnectionThatBroughtAForeignAnswerIsNotUsedAgain, 'server.connections() which is: 1', expected 2. Two tests that the old code passes show that a copy on a resting connection, and one in the read that completes the answer, close the connection.

--- a/src/gateway/net/http_connection.cc
+++ b/src/gateway/net/http_connection.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 
+#include "base/log.h"
 #include "gateway/net/chunked_body.h"
 
 namespace mangoyoke {
@@ -27,6 +28,10 @@
 // bounds the memory for the ids.
 constexpr size_t kMaxCarriedIds = 1024;
 
+std::string ToString(const Tcp::endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 size_t HashOf(const std::string& request_id) {
   return std::hash<std::string>()(request_id);
 }
@@ -144,7 +149,7 @@
   }
   buffer_.commit(size);
   if (observer_ == nullptr) {
-    // Unsolicited bytes: no request is waiting for a response.
+    LogUnsolicited("bytes came while it was idle");
     CloseSocket();
     return;
   }
@@ -182,7 +187,11 @@
         ResetParser();
         continue;
       }
-      keep_alive_ = keep_alive_ && parser_->keep_alive() && buffer_.size() == 0;
+      if (buffer_.size() > 0) {
+        LogUnsolicited("bytes came after the response");
+        keep_alive_ = false;
+      }
+      keep_alive_ = keep_alive_ && parser_->keep_alive();
       Finish(ExchangeResult::kComplete);
       return;
     }
@@ -206,7 +215,7 @@
   bool matches = request_id_.empty() || id == request_id_ ||
                  (id.empty() && exchanges_ == 1);
   if (!matches) {
-    SkipResponse();
+    SkipForeignResponse(id);
     return;
   }
   if (auto found = head.find(http::field::keep_alive); found != head.end()) {
@@ -230,6 +239,24 @@
   ++skipped_responses_;
 }
 
+void HttpConnection::SkipForeignResponse(const std::string& id) {
+  keep_alive_ = false;
+  LogEvent("response_skipped", LogLevel::kWarning)
+      .Field("server", ToString(endpoint_))
+      .Field("request", request_id_)
+      .Field("response", id)
+      .Field("status",
+             static_cast<int64_t>(parser_->get().base().result_int()));
+  SkipResponse();
+}
+
+void HttpConnection::LogUnsolicited(std::string_view when) const {
+  LogEvent("connection_given_up", LogLevel::kWarning)
+      .Field("server", ToString(endpoint_))
+      .Field("request", request_id_)
+      .Field("why", when);
+}
+
 bool HttpConnection::SendsWithoutEnd() const {
   return buffer_.size() > kMaxUnparsedBytes ||
          skipped_responses_ > kMaxSkippedResponses ||
--- a/src/gateway/net/http_connection.h
+++ b/src/gateway/net/http_connection.h
@@ -23,6 +23,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gateway/core/codecs.h"
@@ -108,6 +109,12 @@
   void DeliverBody();
   // The response whose head was parsed is not the one waited for.
   void SkipResponse();
+  // The same, and it belongs to no exchange in progress. The connection is not
+  // used again after this exchange.
+  void SkipForeignResponse(const std::string& id);
+  // Logs that the connection is closed because bytes came for which no request
+  // was waiting.
+  void LogUnsolicited(std::string_view when) const;
   // Whether more bytes came that are no response than a sound server sends.
   bool SendsWithoutEnd() const;
   void ResetParser();
--- a/tests/unit/stale_responses_test.cc
+++ b/tests/unit/stale_responses_test.cc
@@ -109,5 +109,44 @@
   EXPECT_EQ(server.connections(), 2);
 }
 
+// Who sends one response too many may send the next one too late.
+TEST_F(StaleResponsesTest, ConnectionThatBroughtAForeignAnswerIsNotUsedAgain) {
+  RawServer server(0, AnswerAfter(Answer(kRefusal, "a", "full")));
+  EXPECT_EQ(Send(server, "a").body, "answer 1");
+  EXPECT_EQ(Send(server, "b").body, "answer 2");
+  EXPECT_EQ(Send(server, "c").body, "answer 3");
+  EXPECT_EQ(server.connections(), 2);
+}
+
+TEST_F(StaleResponsesTest, InterimResponsesLeaveTheConnectionInUse) {
+  RawServer server(0, AnswerAfter("HTTP/1.1 103 Early Hints\r\n\r\n"));
+  for (const char* id : {"a", "b", "c"}) {
+    EXPECT_EQ(Send(server, id).result, ExchangeResult::kComplete);
+  }
+  EXPECT_EQ(server.connections(), 1);
+}
+
+TEST_F(StaleResponsesTest, CopyOnARestingConnectionClosesIt) {
+  RawServer server(0, [](const RawRequest& request) {
+    return RawAnswer{Answer("200 OK", request.id(), "answer"),
+                     RawAnswer::End::kKeep, Answer("200 OK", request.id(), "")};
+  });
+  Send(server, "a");
+  io_.run_for(Millis(100));
+  io_.restart();
+  EXPECT_EQ(Send(server, "b").body, "answer");
+  EXPECT_EQ(server.connections(), 2);
+}
+
+TEST_F(StaleResponsesTest, CopyInTheReadOfTheAnswerClosesTheConnection) {
+  RawServer server(0, [](const RawRequest& request) {
+    std::string answer = Answer("200 OK", request.id(), "answer");
+    return RawAnswer{answer + answer};
+  });
+  EXPECT_EQ(Send(server, "a").body, "answer");
+  EXPECT_EQ(Send(server, "b").body, "answer");
+  EXPECT_EQ(server.connections(), 2);
+}
+
 }  // namespace
 }  // namespace mangoyoke
