Bytes that a server sent before a request are no answer to it

What lay in a kept connection's socket when a request took the connection, or what a server sent on a new connection before any request, was read as the answer, if it bore no id and the request had none or was the first one. And a request was written to a connection that the server had closed, if the event loop had not read the close yet; such a request counts as possibly executed and is lost if it must not be repeated.

The socket is now looked at before the request is written. A kept connection with bytes or an end in it is closed and the next one taken; on a new one the request is not sent, and counts as that.

On the old code: BytesThatCameBeforeTheRequestAreNoAnswer, 'Send(server, "").body which is: "full"', expected "2"; RequestIsNotSentOnAConnectionThatTheServerClosed, '"" / "answer 2"'; ServerThatSpeaksFirstHasAnsweredNothing, kComplete instead of kNotSent.

--- a/src/gateway/net/connection_pool.cc
+++ b/src/gateway/net/connection_pool.cc
@@ -68,6 +68,10 @@
       continue;
     }
     connections.erase(connections.begin() + static_cast<ptrdiff_t>(i) - 1);
+    if (!connection->SocketIsQuiet()) {
+      connection->Close();
+      continue;
+    }
     connection->SetIdleCloseCallback(nullptr);
     return connection;
   }
--- a/src/gateway/net/http_connection.cc
+++ b/src/gateway/net/http_connection.cc
@@ -2,6 +2,8 @@
 
 #include "gateway/net/http_connection.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
@@ -105,6 +107,10 @@
     }
     self->connected_ = true;
     PrepareSocket(self->socket_, kUnackedTimeout);
+    if (!self->SocketIsQuiet()) {
+      self->Finish(ExchangeResult::kNotSent);
+      return;
+    }
     self->Read();
     self->Write();
   });
@@ -327,6 +333,16 @@
                    HashOf(request_id)) != carried_ids_.end();
 }
 
+bool HttpConnection::SocketIsQuiet() {
+  char byte = 0;
+  ssize_t peeked =
+      recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (peeked > 0) {
+    LogUnsolicited("bytes came before the request");
+  }
+  return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void HttpConnection::Close() {
   observer_ = nullptr;
   on_idle_close_ = nullptr;
--- a/src/gateway/net/http_connection.h
+++ b/src/gateway/net/http_connection.h
@@ -84,6 +84,9 @@
   // Whether an exchange for `request_id` was started on this connection. Always
   // false for the empty id.
   bool HasCarried(const std::string& request_id) const;
+  // Whether the connection is open and nothing lies in the socket. Bytes that
+  // are there before a request was written are no response to it.
+  bool SocketIsQuiet();
   // Time since the last exchange completed.
   Duration IdleTime(TimePoint now) const { return now - idle_since_; }
   // The server's idle timeout, if its Keep-Alive header announced one.
--- a/tests/unit/stale_responses_test.cc
+++ b/tests/unit/stale_responses_test.cc
@@ -126,6 +126,40 @@
   EXPECT_EQ(server.connections(), 1);
 }
 
+// The copy lies in the socket when the next request takes the connection.
+TEST_F(StaleResponsesTest, BytesThatCameBeforeTheRequestAreNoAnswer) {
+  RawServer server(0, [](const RawRequest& request) {
+    std::string copy = request.number == 1 ? Answer(kRefusal, "", "full") : "";
+    return RawAnswer{Answer("200 OK", "", std::to_string(request.number)),
+                     RawAnswer::End::kKeep, copy};
+  });
+  EXPECT_EQ(Send(server, "").body, "1");
+  std::this_thread::sleep_for(Millis(100));
+  EXPECT_EQ(Send(server, "").body, "2");
+  EXPECT_EQ(server.connections(), 2);
+}
+
+// The server closed the connection, which was not noticed before the next
+// request takes it.
+TEST_F(StaleResponsesTest, RequestIsNotSentOnAConnectionThatTheServerClosed) {
+  RawServer server(0, [](const RawRequest& request) {
+    RawAnswer answer = AnswerAfter("")(request);
+    answer.end = RawAnswer::End::kClose;
+    return answer;
+  });
+  EXPECT_EQ(Send(server, "a").body, "answer 1");
+  std::this_thread::sleep_for(Millis(50));
+  EXPECT_EQ(Send(server, "b").body, "answer 2");
+}
+
+TEST_F(StaleResponsesTest, ServerThatSpeaksFirstHasAnsweredNothing) {
+  RawServer server(0, AnswerAfter(""), Answer("200 OK", "", "greeting"));
+  ExchangeOutcome outcome = Send(server, "a", Millis(50));
+  EXPECT_EQ(outcome.result, ExchangeResult::kNotSent);
+  EXPECT_EQ(outcome.body, "");
+  EXPECT_EQ(server.requests(), 0);
+}
+
 TEST_F(StaleResponsesTest, CopyOnARestingConnectionClosesIt) {
   RawServer server(0, [](const RawRequest& request) {
     return RawAnswer{Answer("200 OK", request.id(), "answer"),
