A response to an earlier id does not answer a request without an id

Reservations and releases at a server bear no request id, and any response was taken for theirs. A copy of an earlier refusal thus refused a reservation that the server had granted. A response with the id of an earlier exchange on the connection is now skipped.

On the old code: AnswerToAnEarlierIdIsNotForARequestWithoutId, 'Send(server, "").body which is: "full"', expected "answer 2".

Not told apart: a copy, without an id, of an earlier answer to a request without an id that arrives after the next such request was written.

--- a/src/gateway/net/http_connection.cc
+++ b/src/gateway/net/http_connection.cc
@@ -218,8 +218,8 @@
       extract_request_id_ ? extract_request_id_(head) : std::string();
   // A response without an id certainly belongs to this request only if this is
   // the first exchange on the connection.
-  bool matches = request_id_.empty() || id == request_id_ ||
-                 (id.empty() && exchanges_ == 1);
+  bool matches = id == request_id_ || (id.empty() && exchanges_ == 1) ||
+                 (request_id_.empty() && !HasCarried(id));
   if (!matches) {
     SkipForeignResponse(id);
     return;
--- a/src/gateway/net/http_connection.h
+++ b/src/gateway/net/http_connection.h
@@ -67,7 +67,8 @@
 
   // Connects if necessary and sends `request`. `observer` must outlive the
   // exchange, i.e. live until OnEnd or Close. With an empty `request_id` the
-  // first final response is accepted whatever id it echoes.
+  // first final response is accepted, unless it echoes the id of an earlier
+  // exchange on this connection.
   void Send(HttpRequest request,
             const std::string& request_id,
             ExchangeObserver& observer);
--- a/tests/unit/stale_responses_test.cc
+++ b/tests/unit/stale_responses_test.cc
@@ -126,6 +126,13 @@
   EXPECT_EQ(server.connections(), 1);
 }
 
+// A reservation of KV memory, for example, has no request id.
+TEST_F(StaleResponsesTest, AnswerToAnEarlierIdIsNotForARequestWithoutId) {
+  RawServer server(0, AnswerAfter(Answer(kRefusal, "a", "full")));
+  EXPECT_EQ(Send(server, "a").body, "answer 1");
+  EXPECT_EQ(Send(server, "").body, "answer 2");
+}
+
 // The copy lies in the socket when the next request takes the connection.
 TEST_F(StaleResponsesTest, BytesThatCameBeforeTheRequestAreNoAnswer) {
   RawServer server(0, [](const RawRequest& request) {
