A refusal that does not echo the request id is no promise

On the first exchange of a connection a response without an id is accepted. Its statement "not executed" may concern another request, but it was believed: the request went to further servers, and its caller could be told that it had not run. The statement now counts only with the id of the request; servers echo it. The line refusal_unconfirmed names such responses.

On the old code: RefusalWithoutTheRequestsIdPromisesNothing, 'HasStatus( response.bytes, 502) actual: false' (a 504 after further tries).

--- a/src/gateway/traffic/server_attempt.cc
+++ b/src/gateway/traffic/server_attempt.cc
@@ -2,6 +2,10 @@
 
 #include "gateway/traffic/server_attempt.h"
 
+#include <utility>
+
+#include "base/log.h"
+
 namespace mangoyoke {
 
 ServerAttempt::ServerAttempt(TrafficContext& context,
@@ -26,6 +30,9 @@
                                 on_head = std::move(callbacks.on_head)](
                                    const http::response_header<>& head) {
     response_ = context_.backends.DecodeResponse(head);
+    if (response_.request_id != request_id) {
+      DropUnconfirmedRefusal(request_id);
+    }
     RecordNotice(request_id);
     return on_head && on_head(head, response_);
   };
@@ -43,6 +50,17 @@
                   std::move(exchange_callbacks));
 }
 
+void ServerAttempt::DropUnconfirmedRefusal(const std::string& request_id) {
+  if (!std::exchange(response_.not_executed, false)) {
+    return;
+  }
+  LogEvent("refusal_unconfirmed", LogLevel::kWarning)
+      .Field("server", server_.id)
+      .Field("request", request_id)
+      .Field("response", response_.request_id)
+      .Field("status", static_cast<int64_t>(response_.status));
+}
+
 void ServerAttempt::RecordNotice(const std::string& request_id) {
   if (response_.draining) {
     context_.metrics.Increment("mangoyoke_draining_responses_total");
--- a/src/gateway/traffic/server_attempt.h
+++ b/src/gateway/traffic/server_attempt.h
@@ -63,6 +63,9 @@
   void SetPaused(bool paused) { exchange_.SetPaused(paused); }
 
  private:
+  // The response does not echo `request_id`, so its statement that the request
+  // was not executed may concern another one and does not count.
+  void DropUnconfirmedRefusal(const std::string& request_id);
   // Records and counts what the response head says of the server itself.
   void RecordNotice(const std::string& request_id);
 
--- a/tests/unit/stale_refusals_test.cc
+++ b/tests/unit/stale_refusals_test.cc
@@ -56,5 +56,20 @@
   EXPECT_EQ(server.requests(), 2);
 }
 
+// Whose request a refusal without id concerns is not known.
+TEST_F(RawServersTest, RefusalWithoutTheRequestsIdPromisesNothing) {
+  for (const char* status : {"503 Full", "421 Misdirected Request"}) {
+    AddRawServer(ServerStage::kCombined, [status](const RawRequest&) {
+      return RawAnswer{RawResponse(status, "", kNotExecuted, "")};
+    });
+  }
+  StartRaw(RequestKind::kNonIdempotent, false, 1);
+  for (int i = 0; i < 4; ++i) {
+    ReceivedResponse response = Receive();
+    EXPECT_TRUE(HasStatus(response.bytes, 502)) << response.bytes;
+  }
+  EXPECT_EQ(raw_servers_[0]->requests() + raw_servers_[1]->requests(), 4);
+}
+
 }  // namespace
 }  // namespace mangoyoke
