A stream's 408 or 429 without "not executed" is not passed on as a promise

A server's 408, 421, 429 or 503 promises callers that the request was not executed. Requests to plain services turned one without the server's statement into 502 where the request must not be repeated; requests to a model passed 408 and 429 on, although the server may have run them. Both now do the same.

On the old code: StreamsRefusalWithoutAPromiseIsNotPassedOnAsOne, 'HasStatus( response.bytes, 502) actual: false', 'HTTP/1.1 408 Request Timeout'.

--- a/src/gateway/traffic/active_request.cc
+++ b/src/gateway/traffic/active_request.cc
@@ -26,6 +26,11 @@
 constexpr double kPauseSpreadShare = 0.5;
 constexpr unsigned kServerErrors = 500;
 
+// Statuses that tell a caller that the request was not executed.
+bool ImpliesNotExecuted(unsigned status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 // The outcome of an attempt, as recorded for the health of its server.
 ServerOutcome ServerOutcomeOf(const AttemptOutcome& outcome) {
   if (outcome.timed_out) {
@@ -162,6 +167,17 @@
   End(info.name, why, status);
 }
 
+bool ActiveRequest::FalselyPromises(unsigned status) const {
+  return ImpliesNotExecuted(status) && !input_.route->IsRetrySafe();
+}
+
+void ActiveRequest::FailOnFalsePromise() {
+  SendErrorResponse(
+      ErrorCode::kBackendBroken,
+      "the server responded with status 408, 421, 429 or 503 without stating "
+      "that it did not execute the request");
+}
+
 void ActiveRequest::Reply(const http::response_header<>& head,
                           std::string body) {
   HttpResponse response(context_.backends.EncodeResponseHead(head));
--- a/src/gateway/traffic/active_request.h
+++ b/src/gateway/traffic/active_request.h
@@ -98,6 +98,12 @@
   void SendErrorResponse(ErrorCode code,
                          std::string_view why,
                          std::optional<TimePoint> earliest = std::nullopt);
+  // Whether a server's response with `status`, which did not state that the
+  // server did not execute the request, would tell the caller so although the
+  // request must not be executed twice.
+  bool FalselyPromises(unsigned status) const;
+  // Ends the request after such a response.
+  void FailOnFalsePromise();
   // Sends a backend server's complete response.
   void Reply(const http::response_header<>& head, std::string body);
   // Ends a streamed response normally.
--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -172,6 +172,10 @@
     OnDecodeFailed(false);
     return;
   }
+  if (FalselyPromises(outcome.response.status)) {
+    FailOnFalsePromise();
+    return;
+  }
   Reply(*outcome.head, std::move(outcome.body));
 }
 
--- a/src/gateway/traffic/plain_request.cc
+++ b/src/gateway/traffic/plain_request.cc
@@ -17,11 +17,6 @@
 // after this many times its target latency.
 constexpr double kTargetTimeoutFactor = 1.2;
 
-// Statuses that tell a caller that the request was not executed.
-bool ImpliesNotExecuted(unsigned status) {
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 }  // namespace
 
 void PlainRequest::Begin() {
@@ -112,12 +107,8 @@
                 "the server responded with status 5xx");
     return;
   }
-  if (ImpliesNotExecuted(outcome.response.status) &&
-      !input_.route->IsRetrySafe()) {
-    SendErrorResponse(
-        ErrorCode::kBackendBroken,
-        "the server responded with status 408, 421, 429 or 503 without stating "
-        "that it did not execute the request");
+  if (FalselyPromises(outcome.response.status)) {
+    FailOnFalsePromise();
     return;
   }
   Reply(*outcome.head, std::move(outcome.body));
--- a/tests/unit/stale_refusals_test.cc
+++ b/tests/unit/stale_refusals_test.cc
@@ -71,5 +71,21 @@
   EXPECT_EQ(raw_servers_[0]->requests() + raw_servers_[1]->requests(), 4);
 }
 
+// Without the statement that it was not executed, a stream that must not be
+// repeated may have run.
+TEST_F(RawServersTest, StreamsRefusalWithoutAPromiseIsNotPassedOnAsOne) {
+  const char* status = "";
+  AddRawServer(ServerStage::kDecode, [&status](const RawRequest& request) {
+    return RawAnswer{RawResponse(status, request.id(), "", "no")};
+  });
+  StartRaw(RequestKind::kStreaming, false, 1);
+  for (const char* next : {"408 Request Timeout", "429 Too Many Requests",
+                           "503 Service Unavailable"}) {
+    status = next;
+    ReceivedResponse response = Receive();
+    EXPECT_TRUE(HasStatus(response.bytes, 502)) << next << response.bytes;
+  }
+}
+
 }  // namespace
 }  // namespace mangoyoke
