--- a/src/gateway/net/http_connection.cc
+++ b/src/gateway/net/http_connection.cc
@@ -2,10 +2,14 @@
 
 #include "gateway/net/http_connection.h"
 
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 
+#include "base/log.h"
 #include "gateway/net/chunked_body.h"
 
 namespace mangoyoke {
@@ -24,6 +28,17 @@
 // their bodies.
 constexpr int kMaxSkippedResponses = 16;
 constexpr size_t kMaxSkippedBytes = 1 << 20;
+// A connection is given up after this many exchanges with a request id, which
+// bounds the memory for the ids.
+constexpr size_t kMaxCarriedIds = 1024;
+
+std::string ToString(const Tcp::endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+size_t HashOf(const std::string& request_id) {
+  return std::hash<std::string>()(request_id);
+}
 
 // Parses "timeout=N" (seconds) in the value of a Keep-Alive header.
 std::optional<Duration> ParseKeepAliveTimeout(std::string_view value) {
@@ -63,6 +78,9 @@
   skipped_responses_ = 0;
   skipped_bytes_ = 0;
   ++exchanges_;
+  if (!request_id_.empty()) {
+    carried_ids_.push_back(HashOf(request_id_));
+  }
   ResetParser();
   if (connected_) {
     Write();
@@ -91,6 +109,10 @@
     }
     self->connected_ = true;
     PrepareSocket(self->socket_, kUnackedTimeout);
+    if (!self->SocketIsQuiet()) {
+      self->Finish(ExchangeResult::kNotSent);
+      return;
+    }
     self->Read();
     self->Write();
   });
@@ -135,7 +157,7 @@
   }
   buffer_.commit(size);
   if (observer_ == nullptr) {
-    // Unsolicited bytes: no request is waiting for a response.
+    LogUnsolicited("bytes came while it was idle");
     CloseSocket();
     return;
   }
@@ -173,7 +195,11 @@
         ResetParser();
         continue;
       }
-      keep_alive_ = keep_alive_ && parser_->keep_alive() && buffer_.size() == 0;
+      if (buffer_.size() > 0) {
+        LogUnsolicited("bytes came after the response");
+        keep_alive_ = false;
+      }
+      keep_alive_ = keep_alive_ && parser_->keep_alive();
       Finish(ExchangeResult::kComplete);
       return;
     }
@@ -194,10 +220,10 @@
       extract_request_id_ ? extract_request_id_(head) : std::string();
   // A response without an id certainly belongs to this request only if this is
   // the first exchange on the connection.
-  bool matches = request_id_.empty() || id == request_id_ ||
-                 (id.empty() && exchanges_ == 1);
+  bool matches = id == request_id_ || (id.empty() && exchanges_ == 1) ||
+                 (request_id_.empty() && !HasCarried(id));
   if (!matches) {
-    SkipResponse();
+    SkipForeignResponse(id);
     return;
   }
   if (auto found = head.find(http::field::keep_alive); found != head.end()) {
@@ -221,6 +247,24 @@
   ++skipped_responses_;
 }
 
+void HttpConnection::SkipForeignResponse(const std::string& id) {
+  keep_alive_ = false;
+  LogEvent("response_skipped", LogLevel::kWarning)
+      .Field("server", ToString(endpoint_))
+      .Field("request", request_id_)
+      .Field("response", id)
+      .Field("status",
+             static_cast<int64_t>(parser_->get().base().result_int()));
+  SkipResponse();
+}
+
+void HttpConnection::LogUnsolicited(std::string_view when) const {
+  LogEvent("connection_given_up", LogLevel::kWarning)
+      .Field("server", ToString(endpoint_))
+      .Field("request", request_id_)
+      .Field("why", when);
+}
+
 bool HttpConnection::SendsWithoutEnd() const {
   return buffer_.size() > kMaxUnparsedBytes ||
          skipped_responses_ > kMaxSkippedResponses ||
@@ -282,7 +326,23 @@
 
 bool HttpConnection::Reusable() const {
   return connected_ && !closed_ && observer_ == nullptr && keep_alive_ &&
-         !paused_;
+         !paused_ && carried_ids_.size() < kMaxCarriedIds;
+}
+
+bool HttpConnection::HasCarried(const std::string& request_id) const {
+  return !request_id.empty() &&
+         std::find(carried_ids_.begin(), carried_ids_.end(),
+                   HashOf(request_id)) != carried_ids_.end();
+}
+
+bool HttpConnection::SocketIsQuiet() {
+  char byte = 0;
+  ssize_t peeked =
+      recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (peeked > 0) {
+    LogUnsolicited("bytes came before the request");
+  }
+  return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 void HttpConnection::Close() {
--- a/src/gateway/net/http_connection.h
+++ b/src/gateway/net/http_connection.h
@@ -7,6 +7,8 @@
 // - Delivers only the response that echoes the request's id, or, in the first
 //   exchange of a connection, one without an id. Late responses to earlier
 //   requests on the connection are skipped.
+// - Carries one exchange at most for a request id, so that a response repeated
+//   by the server never matches a later try of the same request.
 // - Bounds what it keeps and skips, so that a server that sends bytes without
 //   end occupies neither memory nor the thread.
 
@@ -21,6 +23,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "gateway/core/codecs.h"
 #include "gateway/net/sockets.h"
@@ -63,7 +67,8 @@
 
   // Connects if necessary and sends `request`. `observer` must outlive the
   // exchange, i.e. live until OnEnd or Close. With an empty `request_id` the
-  // first final response is accepted whatever id it echoes.
+  // first final response is accepted, unless it echoes the id of an earlier
+  // exchange on this connection.
   void Send(HttpRequest request,
             const std::string& request_id,
             ExchangeObserver& observer);
@@ -77,6 +82,12 @@
   // Whether another exchange may follow: connected, idle, not paused, and the
   // server keeps the connection open.
   bool Reusable() const;
+  // Whether an exchange for `request_id` was started on this connection. Always
+  // false for the empty id.
+  bool HasCarried(const std::string& request_id) const;
+  // Whether the connection is open and nothing lies in the socket. Bytes that
+  // are there before a request was written are no response to it.
+  bool SocketIsQuiet();
   // Time since the last exchange completed.
   Duration IdleTime(TimePoint now) const { return now - idle_since_; }
   // The server's idle timeout, if its Keep-Alive header announced one.
@@ -102,6 +113,12 @@
   void DeliverBody();
   // The response whose head was parsed is not the one waited for.
   void SkipResponse();
+  // The same, and it belongs to no exchange in progress. The connection is not
+  // used again after this exchange.
+  void SkipForeignResponse(const std::string& id);
+  // Logs that the connection is closed because bytes came for which no request
+  // was waiting.
+  void LogUnsolicited(std::string_view when) const;
   // Whether more bytes came that are no response than a sound server sends.
   bool SendsWithoutEnd() const;
   void ResetParser();
@@ -123,6 +140,9 @@
   TimePoint idle_since_{};
   std::optional<Duration> server_idle_timeout_;
   int exchanges_ = 0;
+  // Hashes of the request ids of all exchanges. Two ids with the same hash only
+  // cost a new connection.
+  std::vector<size_t> carried_ids_;
   bool connected_ = false;
   bool closed_ = false;
   bool writing_ = false;     // A write is in progress; it reads request_.
