--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -164,7 +164,7 @@
   WaitForAll();
   std::string response;
   std::thread caller(
-      [&response] { response = Get(PortOf(0, kCallers), "/silent/x"); });
+      [this, &response] { response = Get(PortOf(0, kCallers), "/silent/x"); });
   EXPECT_TRUE(Within(kWaitTimeout,
                      [&silent] { return silent->requests_received() == 1; }));
   EXPECT_EQ(Kill(0, SIGTERM), 0);
