A stream that ends in the middle of an event does not look complete

A body without length that ended, or a last chunk that came, in the middle of an event: the rest was passed on and the caller's stream ended as if it were complete. So did a body without length that ended before its first event, also where the server was to go on with a stream that had broken off.

The bytes after the last event are now passed on at the end only if they are an event that lacks its blank line, in a body whose end is marked by a length or a last chunk. Else the stream is resumed or cut. A body that has no line of an event at all passes as it is. The line stream_fault tells of it.

--- a/src/gateway/core/event_stream_framer.cc
+++ b/src/gateway/core/event_stream_framer.cc
@@ -3,6 +3,7 @@
 #include "gateway/core/event_stream_framer.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mangoyoke {
 namespace {
@@ -23,23 +24,33 @@
   return end;
 }
 
-// Whether `event` has a data field.
-bool HasData(std::string_view event) {
-  constexpr std::string_view kField = "data";
-  for (size_t pos = event.find(kField); pos != std::string_view::npos;
-       pos = event.find(kField, pos + 1)) {
-    bool line_start = pos == 0 || event[pos - 1] == '\n';
-    size_t next = pos + kField.size();
-    if (line_start && (next == event.size() || event[next] == ':' ||
-                       event[next] == '\n' || event[next] == '\r')) {
-      return true;
-    }
+// Whether `line` can be a line of an event: a comment, or a field with or
+// without a value. The names of fields are in lowercase, unlike those in most
+// response heads; the first line of a stream may begin with a byte order mark.
+bool IsEventLine(std::string_view line) {
+  constexpr std::string_view kByteOrderMark = "\xef\xbb\xbf";
+  if (line.starts_with(kByteOrderMark)) {
+    line.remove_prefix(kByteOrderMark.size());
   }
-  return false;
+  std::string_view name = line.substr(0, line.find(':'));
+  return std::all_of(name.begin(), name.end(), [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' ||
+           c == '_';
+  });
 }
 
 }  // namespace
 
+std::string_view StreamFaultName(StreamFault fault) {
+  switch (fault) {
+    case StreamFault::kNone:
+      return "none";
+    case StreamFault::kCutOff:
+      return "cut_off";
+  }
+  return "none";
+}
+
 std::string EventStreamFramer::Push(std::string_view bytes) {
   // An end can begin in the bytes searched before.
   size_t searched = partial_event_.size();
@@ -52,37 +63,87 @@
   end += from;
   std::string events = partial_event_.substr(0, end);
   partial_event_.erase(0, end);
-  CountEvents(events);
-  UpdateLastEventId(events);
+  events.resize(Scan(events));
   return events;
 }
 
-void EventStreamFramer::CountEvents(std::string_view events) {
-  bool uses_crlf = events.ends_with(kCrLfEventEnd);
-  std::string_view end = uses_crlf ? kCrLfEventEnd : kLfEventEnd;
+std::string EventStreamFramer::Finish(bool framed) {
+  std::string last = std::exchange(partial_event_, std::string());
+  if (!framed && (!last.empty() || events_of_server_ == 0)) {
+    fault_ = StreamFault::kCutOff;
+    return {};
+  }
+  bool has_events =
+      started() || resumed_ || IsEventLine(last.substr(0, last.find('\n')));
+  if (last.empty() || !has_events) {
+    return last;
+  }
+  if (!last.ends_with('\n') && !last.ends_with('\r')) {
+    fault_ = StreamFault::kCutOff;
+    return {};
+  }
+  return Scan(last + "\n") > 0 ? last : std::string();
+}
+
+void EventStreamFramer::DiscardPartialEvent() {
+  partial_event_.clear();
+  fault_ = StreamFault::kNone;
+  id_.reset();
+  has_data_ = false;
+  events_of_server_ = 0;
+  resumed_ = started() || !last_event_id_.empty();
+}
+
+size_t EventStreamFramer::Scan(std::string_view events) {
+  size_t passed = 0;
   size_t start = 0;
-  for (size_t pos = events.find(end); pos != std::string_view::npos;
-       pos = events.find(end, start)) {
-    event_count_ += HasData(events.substr(start, pos - start)) ? 1 : 0;
-    start = pos + end.size();
+  while (start < events.size()) {
+    size_t end = events.find('\n', start);
+    std::string_view line = events.substr(start, end - start);
+    start = end + 1;
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    if (!line.empty()) {
+      ScanLine(line);
+    } else if (fault_ == StreamFault::kNone) {
+      EndEvent();
+      passed = start;
+    }
+    if (fault_ != StreamFault::kNone) {
+      return passed;
+    }
   }
+  return passed;
 }
 
-void EventStreamFramer::UpdateLastEventId(std::string_view events) {
-  constexpr std::string_view kField = "id:";
-  size_t pos = events.rfind(kField);
-  while (pos != std::string_view::npos && pos > 0 && events[pos - 1] != '\n') {
-    pos = events.rfind(kField, pos - 1);
+void EventStreamFramer::ScanLine(std::string_view line) {
+  constexpr std::string_view kData = "data";
+  constexpr std::string_view kId = "id:";
+  if (line.substr(0, line.find(':')) == kData) {
+    has_data_ = true;
+    return;
   }
-  if (pos == std::string_view::npos) {
+  if (!line.starts_with(kId)) {
     return;
   }
-  std::string_view id = events.substr(pos + kField.size());
-  id = id.substr(0, id.find_first_of("\r\n"));
+  std::string_view id = line.substr(kId.size());
   if (id.starts_with(' ')) {
     id.remove_prefix(1);
   }
-  last_event_id_ = id;
+  id_ = id;
+}
+
+void EventStreamFramer::EndEvent() {
+  if (has_data_) {
+    ++event_count_;
+    ++events_of_server_;
+  }
+  if (id_) {
+    last_event_id_ = *id_;
+  }
+  has_data_ = false;
+  id_.reset();
 }
 
 }  // namespace mangoyoke
--- a/src/gateway/core/event_stream_framer.h
+++ b/src/gateway/core/event_stream_framer.h
@@ -6,11 +6,21 @@
 #define MANGOYOKE_GATEWAY_CORE_EVENT_STREAM_FRAMER_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace mangoyoke {
 
+// Why a server's stream has to be given up.
+enum class StreamFault {
+  kNone,
+  kCutOff,  // It ended in the middle of an event.
+};
+
+// The name of `fault` in logs.
+std::string_view StreamFaultName(StreamFault fault);
+
 // Buffers the bytes of one event stream until an event is complete. Events end
 // with a blank line, by LF or CR LF.
 class EventStreamFramer {
@@ -18,15 +28,24 @@
   static constexpr size_t kMaxEventBytes = 1 << 20;
 
   // Appends received bytes. Returns, unchanged, the events that are complete
-  // now and were not returned before; empty if there are none.
+  // now and were not returned before; empty if there are none. Events from a
+  // fault on are not returned.
   std::string Push(std::string_view bytes);
+  // The server ended the stream. Returns the bytes after the last complete
+  // event if they are an event that lacks only the blank line, or if the stream
+  // has no events at all. `framed`: the response has a length or chunks, so
+  // that its end is certain.
+  std::string Finish(bool framed);
+  // A fault in what the current server sent.
+  StreamFault fault() const { return fault_; }
   // Whether the event in progress is longer than any event may be. The stream
   // then has to be given up.
   bool overlong() const { return partial_event_.size() > kMaxEventBytes; }
   // Bytes received after the last complete event.
   std::string_view partial_event() const { return partial_event_; }
-  // Discards a partial event, before another server resumes the stream.
-  void DiscardPartialEvent() { partial_event_.clear(); }
+  // Discards a partial event, and a fault, before another server resumes the
+  // stream.
+  void DiscardPartialEvent();
   // The last event id in the complete events; empty if none had an id.
   const std::string& last_event_id() const { return last_event_id_; }
   // Number of complete events with data returned so far. Comments, which a
@@ -36,14 +55,23 @@
   bool started() const { return event_count_ > 0; }
 
  private:
-  // Sets `last_event_id_` to the last id in `events`, if there is one.
-  void UpdateLastEventId(std::string_view events);
-  // Adds the number of events in `events` to `event_count_`.
-  void CountEvents(std::string_view events);
+  // Counts the events in `events`, which end with a blank line, and remembers
+  // their ids. Returns the size of those before a fault.
+  size_t Scan(std::string_view events);
+  // Takes one line of the event in progress.
+  void ScanLine(std::string_view line);
+  // The event in progress is complete.
+  void EndEvent();
 
   std::string partial_event_;
   std::string last_event_id_;
   int64_t event_count_ = 0;
+  int64_t events_of_server_ = 0;  // Events with data of the current server.
+  bool resumed_ = false;
+  StreamFault fault_ = StreamFault::kNone;
+  // Of the event that is scanned.
+  std::optional<std::string> id_;
+  bool has_data_ = false;
 };
 
 }  // namespace mangoyoke
--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -21,6 +21,12 @@
 constexpr double kGapTimeoutFactor = 3;
 constexpr double kFirstEventTimeoutFactor = 0.7;
 
+// Whether the end of the body is marked. Else it ends with the connection.
+bool IsFramed(const http::response_header<>& head) {
+  return head.count(http::field::content_length) > 0 ||
+         head.count(http::field::transfer_encoding) > 0;
+}
+
 }  // namespace
 
 void EngineRequest::Decode() {
@@ -101,6 +107,14 @@
     attempt_->Abort();
     return;
   }
+  RelayEvents(std::move(events), events_before);
+  if (framer_.fault() != StreamFault::kNone) {
+    LogStreamFault();
+    attempt_->Abort();
+  }
+}
+
+void EngineRequest::RelayEvents(std::string events, int64_t events_before) {
   if (events.empty()) {
     return;
   }
@@ -114,6 +128,13 @@
   input_.responder->Write(std::move(events));
 }
 
+void EngineRequest::LogStreamFault() const {
+  LogEvent("stream_fault", LogLevel::kWarning)
+      .Field("request", input_.caller_request.id)
+      .Field("fault", StreamFaultName(framer_.fault()))
+      .Field("after", framer_.last_event_id());
+}
+
 void EngineRequest::UpdateDecodeCharge() {
   LoadCharge charge;
   charge.requests = 1;
@@ -162,7 +183,13 @@
     return;
   }
   if (outcome.response.status == 200 && outcome.response.event_stream) {
-    input_.responder->Write(std::string(framer_.partial_event()));
+    std::string last = framer_.Finish(IsFramed(*outcome.head));
+    if (framer_.fault() != StreamFault::kNone) {
+      LogStreamFault();
+      OnDecodeFailed(false);
+      return;
+    }
+    input_.responder->Write(std::move(last));
     context_.metrics.Observe("mangoyoke_longest_gap_ms", longest_gap_ms_);
     context_.output_length.Record(input_.service, GeneratedTokens());
     EndStream();
--- a/src/gateway/traffic/engine_request.h
+++ b/src/gateway/traffic/engine_request.h
@@ -105,6 +105,9 @@
   bool OnDecodeHead(const http::response_header<>& head,
                     const BackendResponse& response);
   void OnDecodeData(std::string data);
+  // Passes on complete events. `events_before`: the number before them.
+  void RelayEvents(std::string events, int64_t events_before);
+  void LogStreamFault() const;
   // Raises the load charge of the stream with its memory.
   void UpdateDecodeCharge();
   // Updates the latency figures when events arrived; `first`: the first ones.
