A server that begins a resumed stream again does not repeat events

A server that was asked to go on after an event, and began at the start or at that event, sent the caller events twice, or pieces of another run after those of the first. Its stream is now given up at the first event whose id is not after the last one (as numbers, else if it is the same id), and resumed elsewhere or cut. Its events are not skipped up to the last id, because a run from the start is another run. A gap cannot be told: ids grow, but by steps that nothing states.

On the old code: NextAnswerTest FromTheStart, FromTheStartInParts, LastEventAgain and EventTwice fail, with and without a third server.

--- a/src/gateway/core/event_stream_framer.cc
+++ b/src/gateway/core/event_stream_framer.cc
@@ -39,12 +39,32 @@
   });
 }
 
+bool IsNumber(std::string_view text) {
+  return !text.empty() &&
+         text.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
+// Compares decimal numbers of any length.
+bool IsGreater(std::string_view number, std::string_view other) {
+  constexpr char kZero = '0';
+  while (number.starts_with(kZero)) {
+    number.remove_prefix(1);
+  }
+  while (other.starts_with(kZero)) {
+    other.remove_prefix(1);
+  }
+  return number.size() == other.size() ? number > other
+                                       : number.size() > other.size();
+}
+
 }  // namespace
 
 std::string_view StreamFaultName(StreamFault fault) {
   switch (fault) {
     case StreamFault::kNone:
       return "none";
+    case StreamFault::kRepeated:
+      return "repeated";
     case StreamFault::kCutOff:
       return "cut_off";
   }
@@ -131,9 +151,23 @@
   if (id.starts_with(' ')) {
     id.remove_prefix(1);
   }
+  if (IsRepeated(id)) {
+    fault_ = StreamFault::kRepeated;
+    return;
+  }
   id_ = id;
 }
 
+bool EventStreamFramer::IsRepeated(std::string_view id) const {
+  if (!resumed_) {
+    return false;
+  }
+  if (IsNumber(id) && IsNumber(last_event_id_)) {
+    return !IsGreater(id, last_event_id_);
+  }
+  return id == last_event_id_;
+}
+
 void EventStreamFramer::EndEvent() {
   if (has_data_) {
     ++event_count_;
--- a/src/gateway/core/event_stream_framer.h
+++ b/src/gateway/core/event_stream_framer.h
@@ -1,6 +1,6 @@
 // Splits a stream of server-sent events (SSE) at event boundaries, so that only
 // complete events are passed on and an interrupted stream can be resumed after
-// the last of them.
+// the last of them. Finds events that come twice after it was resumed.
 
 #ifndef MANGOYOKE_GATEWAY_CORE_EVENT_STREAM_FRAMER_H_
 #define MANGOYOKE_GATEWAY_CORE_EVENT_STREAM_FRAMER_H_
@@ -15,7 +15,8 @@
 // Why a server's stream has to be given up.
 enum class StreamFault {
   kNone,
-  kCutOff,  // It ended in the middle of an event.
+  kRepeated,  // A resumed stream begins at or before the last event.
+  kCutOff,    // It ended in the middle of an event.
 };
 
 // The name of `fault` in logs.
@@ -62,6 +63,8 @@
   void ScanLine(std::string_view line);
   // The event in progress is complete.
   void EndEvent();
+  // Whether an event with `id` cannot follow in a resumed stream.
+  bool IsRepeated(std::string_view id) const;
 
   std::string partial_event_;
   std::string last_event_id_;
--- a/tests/unit/resumed_stream_test.cc
+++ b/tests/unit/resumed_stream_test.cc
@@ -191,6 +191,12 @@
     {"ErrorTextAsEventStream", WithLength("200 OK", kEventStream, "no room")},
     {"ErrorResponseBetweenChunks",
      kStream + Chunk(Event(3)) + kErrorHead + "failed", kKeep},
+    {"FromTheStart", kStream + Chunk(Events(1, 4)) + kLastChunk},
+    {"FromTheStartInParts",
+     kStream + Chunk(Event(1)) + Chunk(Events(2, 4)) + kLastChunk},
+    {"LastEventAgain", kStream + Chunk(Events(2, 4)) + kLastChunk},
+    {"EventTwice", kStream + Chunk(Event(3) + Events(3, 4)) + kLastChunk, kKeep,
+     3},
     {"GoesOn", kStream + Chunk(Events(3, 4)) + kLastChunk, kKeep, 4, true},
 };
 
