Error texts and response heads inside a stream are not passed on as events

A text that ended with a blank line in a 200 of type text/event-stream, a whole response head that followed the events of a body without length, or one in the rest of a chunk that was never finished, counted as an event: callers found the error's text or head in the middle of their stream. After a stream's first event each line now has to be a comment or a field, whose name is in lowercase; else the stream is resumed elsewhere or cut. A stream that never had an event passes as it is.

On the old code: NextAnswerTest ErrorLineAsEventStream, ErrorTextAsEvent, ErrorPageAsEventStream, ErrorHeadInTheStream, ErrorHeadInTheRestOfAChunk, ErrorHeadAfterData, ErrorResponseAfterUnframedEvents, and FirstStreamTest ErrorHeadInTheStream fail.

--- a/src/gateway/core/event_stream_framer.cc
+++ b/src/gateway/core/event_stream_framer.cc
@@ -63,6 +63,8 @@
   switch (fault) {
     case StreamFault::kNone:
       return "none";
+    case StreamFault::kMalformed:
+      return "malformed";
     case StreamFault::kRepeated:
       return "repeated";
     case StreamFault::kCutOff:
@@ -140,6 +142,11 @@
 void EventStreamFramer::ScanLine(std::string_view line) {
   constexpr std::string_view kData = "data";
   constexpr std::string_view kId = "id:";
+  // A stream without any event is passed on as it is.
+  if ((started() || resumed_) && !IsEventLine(line)) {
+    fault_ = StreamFault::kMalformed;
+    return;
+  }
   if (line.substr(0, line.find(':')) == kData) {
     has_data_ = true;
     return;
--- a/src/gateway/core/event_stream_framer.h
+++ b/src/gateway/core/event_stream_framer.h
@@ -1,6 +1,7 @@
 // Splits a stream of server-sent events (SSE) at event boundaries, so that only
 // complete events are passed on and an interrupted stream can be resumed after
-// the last of them. Finds events that come twice after it was resumed.
+// the last of them. Finds what does not belong to the stream: lines that are no
+// part of an event, and events that come twice after it was resumed.
 
 #ifndef MANGOYOKE_GATEWAY_CORE_EVENT_STREAM_FRAMER_H_
 #define MANGOYOKE_GATEWAY_CORE_EVENT_STREAM_FRAMER_H_
@@ -15,8 +16,9 @@
 // Why a server's stream has to be given up.
 enum class StreamFault {
   kNone,
-  kRepeated,  // A resumed stream begins at or before the last event.
-  kCutOff,    // It ended in the middle of an event.
+  kMalformed,  // After whole events, a line that no event has.
+  kRepeated,   // A resumed stream begins at or before the last event.
+  kCutOff,     // It ended in the middle of an event.
 };
 
 // The name of `fault` in logs.
