A stream whose last events have no id is cut, not resumed

Such a stream was resumed after the last id, or with an empty one, so that the next server sent the caller the events without an id once more. It is not resumed now, and its server not given up for a pause.

On the old code: StreamThatCannotBeResumedAfterItsLastEventIsCut, 'response.body which is: "data: t\n\ndata: t\n\n"', expected one event.

--- a/src/gateway/core/event_stream_framer.cc
+++ b/src/gateway/core/event_stream_framer.cc
@@ -179,9 +179,11 @@
   if (has_data_) {
     ++event_count_;
     ++events_of_server_;
+    ++events_after_id_;
   }
   if (id_) {
     last_event_id_ = *id_;
+    events_after_id_ = 0;
   }
   has_data_ = false;
   id_.reset();
--- a/src/gateway/core/event_stream_framer.h
+++ b/src/gateway/core/event_stream_framer.h
@@ -49,6 +49,9 @@
   // Discards a partial event, and a fault, before another server resumes the
   // stream.
   void DiscardPartialEvent();
+  // Whether a server that goes on after last_event_id() leaves out no event
+  // returned and repeats none.
+  bool resumable() const { return events_after_id_ == 0; }
   // The last event id in the complete events; empty if none had an id.
   const std::string& last_event_id() const { return last_event_id_; }
   // Number of complete events with data returned so far. Comments, which a
@@ -71,6 +74,7 @@
   std::string partial_event_;
   std::string last_event_id_;
   int64_t event_count_ = 0;
+  int64_t events_after_id_ = 0;   // Events with data after the last id.
   int64_t events_of_server_ = 0;  // Events with data of the current server.
   bool resumed_ = false;
   StreamFault fault_ = StreamFault::kNone;
--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -40,7 +40,7 @@
 
 Duration EngineRequest::EventTimeout() const {
   Duration left = std::max<Duration>(TimeLeft(), Millis(1));
-  bool can_resume = input_.route->resumable &&
+  bool can_resume = input_.route->resumable && framer_.resumable() &&
                     possible_executions_ + 1 < input_.route->max_servers;
   if (!can_resume) {
     return left;
@@ -65,7 +65,7 @@
   options.kv_source = handle_;
   options.kv_reservation = std::exchange(kv_reservation_, std::nullopt);
   reservation_confirmed_ = options.kv_reservation.has_value();
-  if (framer_.started()) {
+  if (!framer_.last_event_id().empty()) {
     options.resume_after = framer_.last_event_id();
   }
   AttemptCallbacks callbacks;
@@ -231,7 +231,7 @@
   framer_.DiscardPartialEvent();
   ErrorCode code =
       timed_out ? ErrorCode::kBackendTimeout : ErrorCode::kBackendBroken;
-  bool may_resume = input_.route->resumable &&
+  bool may_resume = input_.route->resumable && framer_.resumable() &&
                     possible_executions_ < input_.route->max_servers &&
                     resumes_ < kMaxResumes && TimeLeft() > Duration::zero();
   if (may_resume && TryAcquireRetry()) {
--- a/tests/unit/resumed_stream_test.cc
+++ b/tests/unit/resumed_stream_test.cc
@@ -281,5 +281,26 @@
                          ::testing::ValuesIn(kFirstStreams),
                          [](const auto& info) { return info.param.name; });
 
+// Events without ids do not tell the next server where to go on.
+TEST_F(RawServersTest, StreamThatCannotBeResumedAfterItsLastEventIsCut) {
+  std::atomic<int> attempts{0};
+  std::string events;
+  for (int i = 0; i < 2; ++i) {
+    AddRawServer(ServerStage::kDecode, [&](const RawRequest&) {
+      return ++attempts % 2 == 1
+                 ? RawAnswer{kStream + Chunk(events), kClose}
+                 : RawAnswer{kStream + Chunk(events) + kLastChunk};
+    });
+  }
+  StartRaw(RequestKind::kStreaming, true, 2);
+  for (const char* next : {"data: t\n\n", "id: 1\ndata: t\n\ndata: u\n\n"}) {
+    events = next;
+    attempts = 0;
+    ReceivedResponse response = Receive();
+    EXPECT_EQ(response.body, events) << response.bytes;
+    EXPECT_FALSE(response.complete) << response.bytes;
+  }
+}
+
 }  // namespace
 }  // namespace mangoyoke
