--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -37,6 +37,12 @@
                              kAbandonTargetGaps * route.target_gap});
 }
 
+// Whether the end of the body is marked. Else it ends with the connection.
+bool IsFramed(const http::response_header<>& head) {
+  return head.count(http::field::content_length) > 0 ||
+         head.count(http::field::transfer_encoding) > 0;
+}
+
 }  // namespace
 
 void EngineRequest::Decode() {
@@ -50,7 +56,7 @@
 
 Duration EngineRequest::EventTimeout() const {
   Duration left = std::max<Duration>(TimeLeft(), Millis(1));
-  bool can_resume = input_.route->resumable &&
+  bool can_resume = input_.route->resumable && framer_.resumable() &&
                     possible_executions_ + 1 < input_.route->max_servers;
   if (!can_resume) {
     return left;
@@ -75,7 +81,7 @@
   options.kv_source = handle_;
   options.kv_reservation = std::exchange(kv_reservation_, std::nullopt);
   reservation_confirmed_ = options.kv_reservation.has_value();
-  if (framer_.started()) {
+  if (!framer_.last_event_id().empty()) {
     options.resume_after = framer_.last_event_id();
   }
   AttemptCallbacks callbacks;
@@ -120,6 +126,14 @@
     attempt_->Abort();
     return;
   }
+  RelayEvents(std::move(events), events_before);
+  if (framer_.fault() != StreamFault::kNone) {
+    LogStreamFault();
+    attempt_->Abort();
+  }
+}
+
+void EngineRequest::RelayEvents(std::string events, int64_t events_before) {
   if (events.empty()) {
     return;
   }
@@ -133,6 +147,13 @@
   input_.responder->Write(std::move(events));
 }
 
+void EngineRequest::LogStreamFault() const {
+  LogEvent("stream_fault", LogLevel::kWarning)
+      .Field("request", input_.caller_request.id)
+      .Field("fault", StreamFaultName(framer_.fault()))
+      .Field("after", framer_.last_event_id());
+}
+
 void EngineRequest::UpdateDecodeCharge() {
   LoadCharge charge;
   charge.requests = 1;
@@ -182,7 +203,13 @@
     return;
   }
   if (outcome.response.status == 200 && outcome.response.event_stream) {
-    input_.responder->Write(std::string(framer_.partial_event()));
+    std::string last = framer_.Finish(IsFramed(*outcome.head));
+    if (framer_.fault() != StreamFault::kNone) {
+      LogStreamFault();
+      OnDecodeFailed(false);
+      return;
+    }
+    input_.responder->Write(std::move(last));
     context_.metrics.Observe("mangoyoke_longest_gap_ms", longest_gap_ms_);
     context_.output_length.Record(input_.service, GeneratedTokens());
     EndStream();
@@ -221,7 +248,7 @@
 }
 
 MoveObstacle EngineRequest::ResumeObstacle(int executions) const {
-  if (!input_.route->resumable) {
+  if (!input_.route->resumable || !framer_.resumable()) {
     return MoveObstacle::kRoute;
   }
   if (executions >= input_.route->max_servers) {
