Count connections with an unread request as open work of a stop

Callers saw: a request that lay in the socket at the end of the drain notice was reset although the listener kept its connection: nothing else was open, so the process exited before it read the request. Cause: a connection whose request nobody has read yet is idle, and idle connections did not keep the process running. Evidence: RequestThatArrivedIsAnsweredWhenTheListenerStops and ConnectionInTheBacklogIsServedWhenStopping count 0 busy connections right after the stop before, 1 now. After a stop only connections with something to do are open, so each open one counts.

--- a/src/gateway/net/http_session.h
+++ b/src/gateway/net/http_session.h
@@ -50,8 +50,11 @@
   // has arrived in the socket.
   void CloseIfIdle();
   // Whether a request is being read or responded to, or the last response may
-  // not have reached the caller yet.
-  bool busy() const { return !closed_ && state_ != State::kIdle; }
+  // not have reached the caller yet. After a stop, a connection that is still
+  // open has a request in its socket.
+  bool busy() const {
+    return !closed_ && (state_ != State::kIdle || listener_state_->stopped);
+  }
 
   void Reply(HttpResponse response) override;
   void BeginStream(http::response_header<> head) override;
--- a/tests/unit/caller_connection_test.cc
+++ b/tests/unit/caller_connection_test.cc
@@ -125,20 +125,31 @@
 TEST_F(CallerConnectionTest, RequestThatArrivedIsAnsweredWhenTheListenerStops) {
   Connect();
   SendAndExpectResponse();
-  WhileLoopIsBusy([this] { Send(kRequest); }, [this] { listener_.Stop(); });
+  size_t busy_connections = 0;
+  WhileLoopIsBusy([this] { Send(kRequest); },
+                  [&] {
+                    listener_.Stop();
+                    busy_connections = listener_.busy_connections();
+                  });
   std::string received = ReceiveAll();
+  EXPECT_EQ(busy_connections, 1U);
   EXPECT_TRUE(received.starts_with("HTTP/1.1 200")) << received;
   EXPECT_NE(received.find("Connection: close"), std::string::npos) << received;
 }
 
 TEST_F(CallerConnectionTest, ConnectionInTheBacklogIsServedWhenStopping) {
+  size_t busy_connections = 0;
   WhileLoopIsBusy(
       [this] {
         Connect();
         Send(kRequest);
       },
-      [this] { listener_.Stop(); });
+      [&] {
+        listener_.Stop();
+        busy_connections = listener_.busy_connections();
+      });
   std::string received = ReceiveAll();
+  EXPECT_EQ(busy_connections, 1U);
   EXPECT_TRUE(received.starts_with("HTTP/1.1 200")) << received;
 }
 
