Apply raised size limits to connections that rest

Callers saw: after a change of the configuration that raises the size limits, a request that it allows got 413 or 431 on a kept connection. Cause: a connection took the limits of its next request when its rest began. Evidence: RaisedBodyLimitHoldsForConnectionsThatRest received 413 before, 200 now. The limits in force when the first bytes of a request arrive hold for it.

--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -95,11 +95,8 @@
 }
 
 void HttpSession::NextRequest() {
-  CallerLimits limits = handler_.Limits();
   parser_.emplace();
   parser_->eager(true);
-  parser_->header_limit(limits.header_bytes);
-  parser_->body_limit(limits.body_bytes);
   state_ = State::kIdle;
   head_parsed_ = false;
   request_bytes_ = 0;
@@ -162,8 +159,7 @@
 
 void HttpSession::Parse() {
   if (state_ == State::kIdle) {
-    state_ = State::kReading;
-    ArmTimer(handler_.Limits().header_timeout);
+    BeginRequest();
   }
   while (buffer_.size() > 0 && !parser_->is_done() &&
          !HasToWaitForChunkEnd(*parser_, buffer_)) {
@@ -197,6 +193,14 @@
   WaitForBytes();
 }
 
+void HttpSession::BeginRequest() {
+  CallerLimits limits = handler_.Limits();
+  state_ = State::kReading;
+  parser_->header_limit(limits.header_bytes);
+  parser_->body_limit(limits.body_bytes);
+  ArmTimer(limits.header_timeout);
+}
+
 void HttpSession::OnHeadParsed() {
   head_parsed_ = true;
   const auto& head = parser_->get();
--- a/src/gateway/net/http_session.h
+++ b/src/gateway/net/http_session.h
@@ -79,6 +79,8 @@
   // The caller closed its side, or the connection failed.
   void OnReadEnd();
   void Parse();
+  // The first bytes of a request arrived: the limits in force hold for it.
+  void BeginRequest();
   void OnHeadParsed();
   void Dispatch();
   void RejectRequest(const boost::system::error_code& error);
--- a/tests/unit/caller_connection_test.cc
+++ b/tests/unit/caller_connection_test.cc
@@ -178,6 +178,18 @@
   EXPECT_TRUE(received.starts_with("HTTP/1.1 200")) << received;
 }
 
+TEST_F(CallerConnectionTest, RaisedBodyLimitHoldsForConnectionsThatRest) {
+  handler_.limits.body_bytes = 4;
+  Connect();
+  SendAndExpectResponse();
+  RunOnLoop([this] { handler_.limits.body_bytes = 100; });
+  Send(
+      "POST /p HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+      "Content-Length: 6\r\n\r\nabcdef");
+  std::string received = ReceiveAll();
+  EXPECT_TRUE(received.starts_with("HTTP/1.1 200")) << received;
+}
+
 TEST_F(CallerConnectionTest, IdleConnectionIsStillClosedInTime) {
   handler_.limits.idle_timeout = Millis(100);
   Connect();
