Odd rows: one unreadable row cost the whole page of the table

Seen: one row that another writer left, and no instance behind that reader followed servers or configurations any more. Cause: DecodeRows decoded all rows of a page in one try, after one parse of the whole page. A value that is no text or no base64, a key or a "Removed" of another type, a lone surrogate or a number of 1e999 anywhere in the page lost all rows, and TableWatcher read the same page again and again. A row whose value cannot be read counts as an empty one, which names no server and no configuration, so that what stood under its key is not used any more. A row without a readable key is left out and logged (table_rows_without_key); since it may have replaced any row, a watch that brings one is followed by a full read. Pages go on after the last readable key. Left as it was: a page of 500 rows none of which has a readable key has no key to go on from; it is read again with backoff.

--- a/src/gateway/control/table_watcher.cc
+++ b/src/gateway/control/table_watcher.cc
@@ -110,6 +110,12 @@
     RetryAfterFailure("read", outcome, [this] { ReadPage(""); });
     return;
   }
+  LogRowsWithoutKey("read", *page);
+  if (page->more && page->rows.empty() && page->rows_without_key > 0) {
+    // No key to go on from.
+    RetryAfterFailure("read", outcome, [this] { ReadPage(""); });
+    return;
+  }
   if (snapshot_rows_.empty()) {
     first_page_version_ = page->version;
   }
@@ -132,6 +138,18 @@
   }
 }
 
+void TableWatcher::LogRowsWithoutKey(std::string_view call,
+                                     const StoreRows& rows) const {
+  if (rows.rows_without_key == 0) {
+    return;
+  }
+  LogEvent("table_rows_without_key", LogLevel::kWarning)
+      .Field("table", options_.table)
+      .Field("call", call)
+      .Field("rows", static_cast<int64_t>(rows.rows_without_key))
+      .Field("version", static_cast<int64_t>(rows.version));
+}
+
 void TableWatcher::Watch() {
   watch_sent_at_ = SteadyClock::now();
   Millis wait = confirmed_ ? options_.watch_timeout : Millis(0);
@@ -170,6 +188,7 @@
     return;
   }
   consecutive_failures_ = 0;
+  LogRowsWithoutKey("watch", *changes);
   version_ = std::max(version_, changes->version);
   if (!changes->rows.empty()) {
     on_changes_(changes->rows, version_);
@@ -180,7 +199,10 @@
   if (!running()) {
     return;
   }
-  if (changes->rows.empty()) {
+  if (changes->rows_without_key > 0) {
+    // Any row may have been replaced by one of these.
+    RunAfter(options_.batch_interval, [this] { ReadPage(""); });
+  } else if (changes->rows.empty()) {
     Watch();
   } else {
     RunAfter(options_.batch_interval, [this] { Watch(); });
--- a/src/gateway/control/table_watcher.h
+++ b/src/gateway/control/table_watcher.h
@@ -34,7 +34,8 @@
 // first page on. If the store no longer keeps the history from the watched
 // version, the table is read again. Failed calls are retried without limit,
 // with exponential backoff and jitter; a failed read restarts at the first
-// page.
+// page. A changed row whose key cannot be read may have replaced any row, so
+// that the table is read again.
 class TableWatcher {
  public:
   // Receives all rows or the changed rows, and the store version up to which
@@ -74,6 +75,8 @@
   void OnReadEnd(ExchangeOutcome outcome);
   void Watch();
   void OnWatchEnd(ExchangeOutcome outcome);
+  // Logs that rows were left out, if any were.
+  void LogRowsWithoutKey(std::string_view call, const StoreRows& rows) const;
   bool running() const { return generation_ % 2 == 1; }
   // Calls `action` after `delay`, unless the watcher is stopped before.
   void RunAfter(Duration delay, std::function<void()> action);
--- a/src/gateway/core/codecs.h
+++ b/src/gateway/core/codecs.h
@@ -151,7 +151,8 @@
 // One row of a table of the store.
 struct StoreRow {
   std::string key;
-  std::optional<std::string> value;  // Absent: the row was deleted.
+  // Absent: the row was deleted. Empty if it cannot be read.
+  std::optional<std::string> value;
 };
 
 // One page of rows, or of changed rows, of a table.
@@ -159,6 +160,8 @@
   std::vector<StoreRow> rows;
   uint64_t version = 0;  // Of the store, at the time of this response.
   bool more = false;     // More rows follow after the last one.
+  // Rows that are left out because their keys cannot be read.
+  size_t rows_without_key = 0;
 };
 
 // Wire format of calls to the store.
@@ -173,7 +176,8 @@
   virtual HttpRequest EncodeWatch(const std::string& table,
                                   uint64_t version,
                                   Millis max_wait) const = 0;
-  // Decodes the body of a response to either request.
+  // Decodes the body of a response to either request. Each row stands for
+  // itself: one that cannot be read does not affect the others.
   virtual Result<StoreRows> DecodeRows(const std::string& body) const = 0;
   // Whether the response says that the store no longer keeps the changes after
   // the requested version.
--- a/tests/support/fake_store.cc
+++ b/tests/support/fake_store.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/algorithm/string/join.hpp>
 #include <boost/archive/iterators/base64_from_binary.hpp>
 #include <boost/archive/iterators/transform_width.hpp>
 #include <nlohmann/json.hpp>
@@ -35,18 +36,43 @@
   return target.substr(at, target.find('&', at) - at);
 }
 
+std::string DecodePercent(const std::string& text) {
+  std::string decoded;
+  for (size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '%') {
+      decoded += text[i];
+      continue;
+    }
+    decoded += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
+    i += 2;
+  }
+  return decoded;
+}
+
 }  // namespace
 
 void FakeStore::Put(const std::string& table,
                     const std::string& key,
                     std::optional<std::string> value) {
-  tables_[table][key] = Row{std::move(value), ++version_};
+  PutRow(table, key, Row{std::move(value), "", ++version_});
+}
+
+void FakeStore::PutRaw(const std::string& table,
+                       const std::string& key,
+                       std::string raw) {
+  PutRow(table, key, Row{std::nullopt, std::move(raw), ++version_});
+}
+
+void FakeStore::PutRow(const std::string& table,
+                       const std::string& key,
+                       Row row) {
+  tables_[table][key] = std::move(row);
   for (auto it = pending_watches_.begin(); it != pending_watches_.end();) {
     if (!HasChanges(it->table, it->after)) {
       ++it;
       continue;
     }
-    it->responder->Reply(Rows(it->table, it->after));
+    it->responder->Reply(Rows(it->table, it->after, ""));
     it = pending_watches_.erase(it);
   }
 }
@@ -63,6 +89,7 @@
   auto copy = std::make_unique<FakeStore>(io_);
   copy->version_ = version_;
   copy->history_start_ = history_start_;
+  copy->page_rows_ = page_rows_;
   copy->tables_ = tables_;
   return copy;
 }
@@ -77,34 +104,52 @@
       [after](const auto& item) { return item.second.version > after; });
 }
 
-HttpResponse FakeStore::Rows(const std::string& table, uint64_t after) const {
-  Json rows = Json::array();
+HttpResponse FakeStore::Rows(const std::string& table,
+                             uint64_t after,
+                             const std::string& from) const {
+  std::vector<std::string> items;
+  bool more = false;
   if (auto found = tables_.find(table); found != tables_.end()) {
-    for (const auto& [key, row] : found->second) {
-      if (row.version <= after || (after == 0 && !row.value)) {
+    for (auto it = found->second.lower_bound(from); it != found->second.end();
+         ++it) {
+      const auto& [key, row] = *it;
+      if (row.version <= after ||
+          (after == 0 && !row.value && row.raw.empty())) {
         continue;
       }
-      Json item{{"Table", table},
-                {"part", ""},
-                {"Key", key},
-                {"SchemaVersion", row.version}};
-      if (row.value) {
-        item["Value"] = ToBase64(*row.value);
-      } else {
-        item["Removed"] = true;
+      if (items.size() == page_rows_) {
+        more = true;
+        break;
       }
-      rows.push_back(std::move(item));
+      items.push_back(EncodeRow(table, key, row));
     }
   }
   HttpResponse response(http::status::ok, kHttpVersion);
-  response.body() = Json{
-      {"Rows", rows},
-      {"HasMore", false},
-      {"SchemaVersion", version_},
-      {"NowMs", 0}}.dump();
+  response.body() = "{\"Rows\":[" + boost::algorithm::join(items, ",") +
+                    "],\"HasMore\":" + (more ? "true" : "false") +
+                    ",\"SchemaVersion\":" + std::to_string(version_) +
+                    ",\"NowMs\":0}";
   return response;
 }
 
+std::string FakeStore::EncodeRow(const std::string& table,
+                                 const std::string& key,
+                                 const Row& row) {
+  if (!row.raw.empty()) {
+    return row.raw;
+  }
+  Json item{{"Table", table},
+            {"part", ""},
+            {"Key", key},
+            {"SchemaVersion", row.version}};
+  if (row.value) {
+    item["Value"] = ToBase64(*row.value);
+  } else {
+    item["Removed"] = true;
+  }
+  return item.dump();
+}
+
 void FakeStore::Watch(const std::string& table,
                       uint64_t after,
                       Millis timeout,
@@ -114,7 +159,7 @@
     return;
   }
   if (HasChanges(table, after)) {
-    responder->Reply(Rows(table, after));
+    responder->Reply(Rows(table, after, ""));
     return;
   }
   auto watch = pending_watches_.insert(
@@ -124,7 +169,7 @@
   watch->timer->async_wait(
       [this, watch](const boost::system::error_code& error) {
         if (!error) {
-          watch->responder->Reply(Rows(watch->table, version_));
+          watch->responder->Reply(Rows(watch->table, version_, ""));
           pending_watches_.erase(watch);
         }
       });
@@ -163,7 +208,9 @@
     return;
   }
   if (full_read) {
-    responder->Reply((read_from_ ? *read_from_ : store_).Rows(table, 0));
+    responder->Reply(
+        (read_from_ ? *read_from_ : store_)
+            .Rows(table, 0, DecodePercent(QueryValue(target, "From"))));
     return;
   }
   store_.Watch(table, std::stoull(QueryValue(target, "after")),
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -26,6 +26,13 @@
   void Put(const std::string& table,
            const std::string& key,
            std::optional<std::string> value);
+  // Writes a row of another writer, which is sent as `raw` instead of a JSON
+  // object with key and value.
+  void PutRaw(const std::string& table,
+              const std::string& key,
+              std::string raw);
+  // Sets the most rows of one page.
+  void SetPageRows(size_t rows) { page_rows_ = rows; }
   // Drops the history: watches from an earlier version get 410.
   void DropHistory() { history_start_ = version_; }
   // The watches pending now never get a response.
@@ -38,6 +45,7 @@
 
   struct Row {
     std::optional<std::string> value;  // Absent: deleted.
+    std::string raw;                   // Sent as it is, unless empty.
     uint64_t version = 0;
   };
   struct PendingWatch {
@@ -47,7 +55,14 @@
     std::unique_ptr<boost::asio::steady_timer> timer;
   };
 
-  HttpResponse Rows(const std::string& table, uint64_t after) const;
+  void PutRow(const std::string& table, const std::string& key, Row row);
+  // The rows changed after version `after`, from key `from` on.
+  HttpResponse Rows(const std::string& table,
+                    uint64_t after,
+                    const std::string& from) const;
+  static std::string EncodeRow(const std::string& table,
+                               const std::string& key,
+                               const Row& row);
   void Watch(const std::string& table,
              uint64_t after,
              Millis timeout,
@@ -57,6 +72,7 @@
   boost::asio::io_context& io_;
   uint64_t version_ = 1;
   uint64_t history_start_ = 0;
+  size_t page_rows_ = 500;
   std::map<std::string, std::map<std::string, Row>> tables_;
   std::list<PendingWatch> pending_watches_;
   // Kept open without a response.
