Odd configurations: numbers that wrap around or overflow a time

Seen: a configuration with Version -1 becomes active as revision 2^64 - 1, and no later one is taken. Without lists of routes or services one becomes active that has no routes, and callers get 404. Cause: numbers were taken as they came and wrapped around; times overflowed when they were added up; a list was iterated over whatever it was. On the code before this commit ConfigurationWithAVersionBelowZeroIsTakenForEver: "state_.config()->revision() Which is: active Which is: 1".

--- a/tests/unit/odd_rows_test.cc
+++ b/tests/unit/odd_rows_test.cc
@@ -214,5 +214,22 @@
   }
 }
 
+// After that, no configuration would count as newer.
+TEST_F(OddRowsFollowTest, ConfigurationWithAVersionBelowZeroIsTakenForEver) {
+  StartWithTwoServers();
+  for (const char* version : {"-1", "18446744073709551615", "1e300"}) {
+    Revision active = state_.config()->revision();
+    store_.Put("op", "config",
+               std::string("{\"Version\":") + version +
+                   ",\"Routes\":[],\"Services\":[]}");
+    RunUntil(io_, Millis(200), [] { return false; });
+    EXPECT_EQ(state_.config()->revision(), active) << version;
+    PutConfig(store_, active + 1);
+    EXPECT_TRUE(WaitUntil([this, active] {
+      return state_.config()->revision() == active + 1;
+    })) << version;
+  }
+}
+
 }  // namespace
 }  // namespace mangoyoke
