Deeply nested limits of a configuration ended the process

Seen: a segmentation fault of the process that read the configuration. Cause: json.value("Limits", ...) returns a copy, and a copy of a nested value is made by recursion. Parsing and destruction use none. Evidence: DeepNestingInTheLimitsEndsTheProcess and DeepNestingInAConfigurationEndsTheProcess at 200,000 levels, on a thread of 8 MB: segmentation fault (exit code 139) on the old code.

--- a/tests/unit/odd_configs_test.cc
+++ b/tests/unit/odd_configs_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <nlohmann/json.hpp>
+#include <thread>
 
 #include "platform/store_codec.h"
 
@@ -22,6 +23,10 @@
     R"("HoldMs":2000.0}}],"Limits":{"MaxHeaderBytes":16384,)"
     R"("MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
 
+std::string Nested(size_t levels) {
+  return std::string(levels, '[') + std::string(levels, ']');
+}
+
 // `json` with the value at `pointer` replaced by the text `value`.
 std::string Replaced(const char* json,
                      const std::string& pointer,
@@ -87,5 +92,30 @@
   EXPECT_FALSE(IsConfig(Replaced(kConfig, "/Routes/0/TrafficSplit", "null")));
 }
 
+// On threads like those of the event loops.
+TEST(OddConfigsTest, DeepNestingInAConfigurationEndsTheProcess) {
+  constexpr size_t kLevels = 200'000;
+  std::thread([] {
+    std::string nested = Nested(kLevels);
+    EXPECT_FALSE(IsConfig(nested));
+    for (const char* pointer :
+         {"/Version", "/Routes", "/Routes/0", "/Routes/0/Name",
+          "/Routes/0/TrafficSplit", "/Services", "/Services/0", "/Limits",
+          "/Limits/MaxHeaderBytes"}) {
+      EXPECT_FALSE(IsConfig(Replaced(kConfig, pointer, nested))) << pointer;
+    }
+  }).join();
+}
+
+TEST(OddConfigsTest, DeepNestingInTheLimitsEndsTheProcess) {
+  constexpr size_t kLevels = 200'000;
+  std::string limits =
+      "{\"MaxHeaderBytes\":1,\"Other\":" + Nested(kLevels) + "}";
+  std::string config = Replaced(kConfig, "/Limits", limits);
+  bool decoded = false;
+  std::thread([&] { decoded = IsConfig(config); }).join();
+  EXPECT_TRUE(decoded);
+}
+
 }  // namespace
 }  // namespace mangoyoke::platform
