Registry: a server with an odd row was kept as lapsed around an outage

Seen: during an outage of the store and for some time after it, an entry that was replaced by an odd one stayed in use. Cause: the registry treats a row without a server as removed. Around an outage it keeps a ready server whose row is removed, since the row may have expired; but a row that is there did not expire. A lapsed server whose row came back odd stayed as well. Evidence, on the old code: ServerWithAnOddRowIsKeptAsLapsedAfterAnOutage and LapsedServerIsKeptAlthoughItsRowIsBackAndOdd: "Value of: Has("a") Actual: true Expected: false". Fix: such a change is marked, and the server is removed at once (server_gone why=unreadable).

--- a/src/gateway/control/serving_state.cc
+++ b/src/gateway/control/serving_state.cc
@@ -183,6 +183,7 @@
   }
   change.server = codec_.DecodeServer(row);
   if (!change.server) {
+    change.names_no_server = true;
     LogEvent("server_row_unreadable", LogLevel::kWarning)
         .Field("server", row.key);
     metrics_.Increment("mangoyoke_server_rows_unreadable_total");
--- a/src/gateway/core/backend_registry.cc
+++ b/src/gateway/core/backend_registry.cc
@@ -88,7 +88,18 @@
 
 void BackendRegistry::Remove(const RegistryChange& change, TimePoint now) {
   auto found = servers_.find(change.id);
-  if (found == servers_.end() || lapsed_.contains(change.id)) {
+  if (found == servers_.end()) {
+    return;
+  }
+  if (change.names_no_server) {
+    LogEvent("server_gone")
+        .Field("server", change.id)
+        .Field("why", "unreadable");
+    lapsed_.erase(change.id);
+    servers_.erase(found);
+    return;
+  }
+  if (lapsed_.contains(change.id)) {
     return;
   }
   // A leaving server is not expected to renew its row, so it is not kept.
--- a/src/gateway/core/backend_registry.h
+++ b/src/gateway/core/backend_registry.h
@@ -27,6 +27,9 @@
   // For a removed row: another instance keeps the server, since its row may
   // have expired because of a store outage.
   bool lapsed = false;
+  // The row is there and names no server, so that the one that it named before
+  // is not kept, whatever the state of the store.
+  bool names_no_server = false;
 };
 
 // Tracks the known backend servers and publishes them as immutable snapshots.
@@ -65,7 +68,7 @@
  private:
   // Whether a row that disappears now may have expired because of an outage.
   bool RowMayHaveExpired(TimePoint now) const;
-  // Handles a removed row: marks the server as lapsed or removes it.
+  // Handles a row without a server: marks the server as lapsed or removes it.
   void Remove(const RegistryChange& change, TimePoint now);
   void Publish();
 
--- a/tests/unit/odd_rows_test.cc
+++ b/tests/unit/odd_rows_test.cc
@@ -187,6 +187,36 @@
   EXPECT_TRUE(Has("z"));
 }
 
+// A row that is there did not expire.
+TEST_F(OddRowsFollowTest, ServerWithAnOddRowIsKeptAsLapsedAfterAnOutage) {
+  StartWithTwoServers();
+  endpoint_.SetUnavailable(true);
+  ASSERT_TRUE(WaitUntil([this] { return !client_.reachable(); }));
+  RunUntil(io_, Seconds(1), [] { return false; });
+  store_.Put("servers", "a", "{}");
+  PutServer(store_, "b");
+  endpoint_.SetUnavailable(false);
+  ASSERT_TRUE(WaitUntil([this] { return Has("b"); }));
+  EXPECT_FALSE(Has("a"));
+  EXPECT_TRUE(Has("z"));
+}
+
+TEST_F(OddRowsFollowTest, LapsedServerIsKeptAlthoughItsRowIsBackAndOdd) {
+  StartWithTwoServers();
+  endpoint_.SetUnavailable(true);
+  ASSERT_TRUE(WaitUntil([this] { return !client_.reachable(); }));
+  RunUntil(io_, Seconds(1), [] { return false; });
+  store_.Put("servers", "a", std::nullopt);
+  PutServer(store_, "b");
+  endpoint_.SetUnavailable(false);
+  ASSERT_TRUE(WaitUntil([this] { return Has("b"); }));
+  ASSERT_TRUE(Has("a"));
+  store_.Put("servers", "a", "{}");
+  PutServer(store_, "c");
+  ASSERT_TRUE(WaitUntil([this] { return Has("c"); }));
+  EXPECT_FALSE(Has("a"));
+}
+
 // The next page begins after the last key, which may be that of an odd row.
 TEST_F(OddRowsFollowTest, PagesEndAtAnOddRow) {
   store_.SetPageRows(2);
