Followers: the bytes of odd rows were passed on with each full update

Seen in the code: a message between instances may have 16 MB. Readers pass all rows on, also those that name no server; with many large ones the connection of each follower is closed whenever it needs all rows. Evidence: BytesOfOddRowsFillTheUpdatesOfFollowers on the old code, with two odd rows of 60,000 bytes: "Expected: (update.size()) < (kRowBytes), actual: 120458 vs 60000". Fix: a row that names no server is kept and passed on without its bytes.

--- a/src/gateway/control/serving_state.cc
+++ b/src/gateway/control/serving_state.cc
@@ -201,7 +201,7 @@
   std::vector<RegistryChange> changes;
   for (const StoreRow& row : rows) {
     changes.push_back(DecodeServerRow(row));
-    server_rows_[row.key] = row.value.value_or("");
+    KeepRow(row, changes.back());
   }
   for (const BackendId& id : lapsed) {
     changes.push_back(RegistryChange{id, std::nullopt, true});
@@ -222,17 +222,21 @@
   for (const StoreRow& row : rows) {
     changes.push_back(DecodeServerRow(row));
     changes.back().lapsed = lapsed.contains(row.key);
-    if (row.value) {
-      server_rows_[row.key] = *row.value;
-    } else {
-      server_rows_.erase(row.key);
-    }
+    KeepRow(row, changes.back());
   }
   RecordChanges(rows, version);
   registry_.Apply(version, changes, SteadyClock::now());
   on_servers_changed.Notify();
 }
 
+void ServingState::KeepRow(const StoreRow& row, const RegistryChange& change) {
+  if (row.value) {
+    server_rows_[row.key] = change.server ? *row.value : "";
+  } else {
+    server_rows_.erase(row.key);
+  }
+}
+
 void ServingState::RecordChanges(const std::vector<StoreRow>& rows,
                                  uint64_t version) {
   ServerChanges changes{version, {}};
--- a/src/gateway/control/serving_state.h
+++ b/src/gateway/control/serving_state.h
@@ -88,6 +88,9 @@
   void ApplyServerChanges(const std::vector<StoreRow>& rows,
                           const std::set<BackendId>& lapsed,
                           uint64_t version);
+  // Keeps the row for updates of other instances. A row without a server goes
+  // on without its bytes, which may be many and are of no use.
+  void KeepRow(const StoreRow& row, const RegistryChange& change);
   void RecordChanges(const std::vector<StoreRow>& rows, uint64_t version);
   // A change without a server if the row was deleted or cannot be decoded.
   RegistryChange DecodeServerRow(const StoreRow& row) const;
--- a/tests/unit/odd_rows_test.cc
+++ b/tests/unit/odd_rows_test.cc
@@ -217,6 +217,25 @@
   EXPECT_FALSE(Has("a"));
 }
 
+// They would exceed what a message between instances may hold.
+TEST_F(OddRowsFollowTest, BytesOfOddRowsFillTheUpdatesOfFollowers) {
+  constexpr size_t kRowBytes = 60'000;
+  StartWithTwoServers();
+  store_.Put("servers", "odd1", std::string(kRowBytes, '['));
+  store_.Put("servers", "odd2", std::string(kRowBytes, '\xff'));
+  PutServer(store_, "b");
+  ASSERT_TRUE(WaitUntil([this] { return Has("b"); }));
+  for (int known : {0, 1}) {
+    std::vector<uint8_t> update;
+    state_.HandlePoll(Json{{"w", 0}, {"g", known}},
+                      [&update](Result<Json> response) {
+                        update = Json::to_msgpack(std::get<Json>(response));
+                      });
+    EXPECT_GT(update.size(), 0U);
+    EXPECT_LT(update.size(), kRowBytes);
+  }
+}
+
 // The next page begins after the last key, which may be that of an odd row.
 TEST_F(OddRowsFollowTest, PagesEndAtAnOddRow) {
   store_.SetPageRows(2);
