A deeply nested message between instances ended the process

Seen: a segmentation fault of an instance at whose peer address a MessagePack body of nested arrays or maps arrived (2 MB of 16 MB allowed). Cause: the library reads nested MessagePack by recursion. No exception is involved, so that the supervisor cannot help.

--- a/src/gateway/traffic/load_reporter.cc
+++ b/src/gateway/traffic/load_reporter.cc
@@ -10,6 +10,7 @@
 #include <optional>
 
 #include "base/log.h"
+#include "base/message_pack.h"
 #include "gateway/net/sockets.h"
 
 namespace mangoyoke {
@@ -238,7 +239,7 @@
 }
 
 void LoadReporter::HandleReport(const uint8_t* data, size_t size) {
-  Json report = Json::from_msgpack(data, data + size, true, false);
+  Json report = DecodeMessagePack(data, size);
   try {
     auto scope = DecodeScope(report.at(0));
     if (scope) {
--- a/src/peer/peer_transport.cc
+++ b/src/peer/peer_transport.cc
@@ -13,6 +13,7 @@
 #include <set>
 #include <utility>
 
+#include "base/message_pack.h"
 #include "peer/peer_connection.h"
 
 namespace mangoyoke {
@@ -36,7 +37,8 @@
 }
 
 Json Decode(const std::string& bytes) {
-  return Json::from_msgpack(bytes, true, /*allow_exceptions=*/false);
+  return DecodeMessagePack(reinterpret_cast<const uint8_t*>(bytes.data()),
+                           bytes.size());
 }
 
 Json EncodeError(const Error& error) {
--- a/tests/unit/odd_updates_test.cc
+++ b/tests/unit/odd_updates_test.cc
@@ -3,9 +3,12 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "base/supervisor.h"
+#include "peer/peer_connection.h"
 #include "platform/store_codec.h"
 #include "tests/support/serving_instance.h"
 
@@ -143,5 +146,65 @@
   EXPECT_EQ(follower.StoreCalls(), 0);
 }
 
+// A server of peer requests on an event loop of its own, as in a process.
+class PeerLoopTest : public ::testing::Test, public PeerHandler {
+ protected:
+  PeerLoopTest()
+      : supervisor_(metrics_), server_(supervisor_.AddLoop("control"), *this) {
+    EXPECT_TRUE(Ok(server_.Listen(kPeerAddress)));
+    supervisor_.Start();
+  }
+  ~PeerLoopTest() override { supervisor_.Stop(); }
+
+  void OnPeerRequest(const std::string&,
+                     const Json& message,
+                     PeerResponder respond) override {
+    respond(message);
+  }
+
+  // Sends `body` as a request and returns the status of the response; 0 if
+  // there was none.
+  int Send(const std::string& body) {
+    boost::asio::io_context io{1};
+    boost::asio::ip::tcp::socket socket(io);
+    auto address = ParseAddress(kPeerAddress);
+    const auto& [ip, port] = std::get<0>(address);
+    socket.connect({boost::asio::ip::make_address(ip), port});
+    int status = 0;
+    auto connection = std::make_shared<PeerConnection>(
+        std::move(socket), PeerConnection::Side::kClient,
+        [&status](PeerConnection&, int32_t, PeerStream& response) {
+          status = response.status;
+        },
+        [](PeerConnection&) {});
+    connection->Start();
+    connection->SendRequest("/any", body);
+    RunUntil(io, Seconds(5), [&status] { return status != 0; });
+    connection->Close();
+    io.run_for(Millis(10));
+    return status;
+  }
+
+  Metrics metrics_;
+  Supervisor supervisor_;
+  PeerServer server_;
+};
+
+TEST_F(PeerLoopTest, DeeplyNestedMessageEndsTheProcess) {
+  constexpr char kArrayOfOne = '\x91';
+  constexpr char kMapOfOne = '\x81';
+  constexpr char kNull = '\xc0';
+  constexpr size_t kLevels = 2'000'000;
+  EXPECT_EQ(Send(std::string(kLevels, kArrayOfOne) + kNull), 500);
+  EXPECT_EQ(Send(std::string(kLevels, kArrayOfOne)), 500);
+  std::string maps;
+  for (size_t i = 0; i < kLevels; ++i) {
+    maps += kMapOfOne;
+    maps += '\xa0';  // An empty name.
+  }
+  EXPECT_EQ(Send(maps + kNull), 500);
+  EXPECT_EQ(Send(std::string(1, '\x80')), 200);
+}
+
 }  // namespace
 }  // namespace mangoyoke
