Membership: one odd record cost all records of a message

Cause: DecodeMembers read all records in one go, so that a record of a wrong type lost the message and counted as a failed probe; numbers below 0 and a state of 2^32 wrapped around. Our own instances send none of these. Evidence, on the old code: OddRecordCostsAllRecordsOfAMessage: "it throws nlohmann::json_abi_v3_11_2::detail::type_error with description "[json.exception.type_error.304] cannot use at() with null"". Fix: each record stands for itself; one that cannot be read is left out and logged (member_record_unreadable).

--- a/src/membership/member_codec.h
+++ b/src/membership/member_codec.h
@@ -14,9 +14,8 @@
 // messages small.
 nlohmann::json EncodeMembers(const std::vector<MemberRecord>& records);
 
-// Decodes EncodeMembers. Skips records with an unknown state. Throws
-// nlohmann::json::exception on a malformed message, which the peer transport
-// reports as kPeerMalformed.
+// Decodes EncodeMembers. Each record stands for itself: those that cannot be
+// read are logged and left out.
 std::vector<MemberRecord> DecodeMembers(const nlohmann::json& message);
 
 }  // namespace mangoyoke
