Fix: 502 after a move from a silent server to one that is full

A request that was taken from a silent server needs another retry if the next server rejects it. With the retry budget used up the caller got 502, or the stream was cut, though the first server would have gone on and time was left. A request that no server can have executed is still refused at once, with its promise.

--- a/src/gateway/traffic/active_request.cc
+++ b/src/gateway/traffic/active_request.cc
@@ -92,7 +92,8 @@
       input_(std::move(input)),
       id_(table.NextId()),
       arrived_(SteadyClock::now()),
-      timer_(context.io) {
+      timer_(context.io),
+      ask_again_timer_(context.io) {
   Duration timeout = input_.route->timeout;
   if (input_.caller_request.timeout) {
     timeout = std::min<Duration>(
@@ -221,6 +222,7 @@
                         int status) {
   ended_ = true;
   timer_.cancel();
+  ask_again_timer_.cancel();
   context_.metrics.Increment("mangoyoke_requests_total", "outcome", outcome);
   context_.metrics.Observe("mangoyoke_request_ms", ToMillis(Age()));
   {
@@ -256,6 +258,7 @@
   }
   if (obstacle == MoveObstacle::kNone) {
     retry_taken_ = true;
+    moved_ = true;
     LogSilence("moved", obstacle);
     return std::nullopt;
   }
@@ -267,6 +270,21 @@
   return kAskAgainAfter;
 }
 
+void ActiveRequest::AskAgainLater(std::function<void()> action) {
+  attempt_.reset();
+  LogEvent("retry_waits")
+      .Field("request", input_.caller_request.id)
+      .Field("service", input_.service)
+      .Field("left_ms", ToMillis(TimeLeft()));
+  ask_again_timer_.expires_after(kAskAgainAfter);
+  ask_again_timer_.async_wait(
+      [action = std::move(action)](const boost::system::error_code& error) {
+        if (!error) {
+          action();
+        }
+      });
+}
+
 void ActiveRequest::RecordProgress() {
   last_progress_ = SteadyClock::now();
   if (!std::exchange(silence_known_, false)) {
--- a/src/gateway/traffic/active_request.h
+++ b/src/gateway/traffic/active_request.h
@@ -152,6 +152,9 @@
   void RecordServerOutcome(const BackendServer& server,
                            const AttemptOutcome& outcome,
                            double slowness);
+  // The retry budget is used up. Drops the ended attempt and calls `action`
+  // when it is time to ask again.
+  void AskAgainLater(std::function<void()> action);
   // An event or the response of the current attempt arrived.
   void RecordProgress();
   // Logs `attempt_silent`: the timeout of the last attempt ended while its
@@ -178,6 +181,8 @@
   int possible_executions_ = 0;  // Servers that may have executed it.
   bool streaming_ = false;       // The response head of a stream was written.
   bool ended_ = false;
+  // Was taken from a silent server, which might have gone on.
+  bool moved_ = false;
 
  private:
   // When the caller of a request that was not executed may come back.
@@ -189,6 +194,7 @@
   TimePoint arrived_;
   TimePoint deadline_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer ask_again_timer_;
   bool retry_taken_ = false;  // By KeepWaiting, and not yet used.
   // The silence of the current attempt was logged and recorded.
   bool silence_known_ = false;
--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -197,8 +197,20 @@
 
 void EngineRequest::OnDecodeNotExecuted() {
   ++decode_rejections_;
-  if (decode_rejections_ >= kMaxDecodeRejections ||
-      TimeLeft() < Duration::zero() || !TryAcquireRetry()) {
+  RetryRejectedDecode();
+}
+
+void EngineRequest::RetryRejectedDecode() {
+  if (ended_) {
+    return;
+  }
+  bool may_retry = decode_rejections_ < kMaxDecodeRejections &&
+                   TimeLeft() >= Duration::zero();
+  if (may_retry && moved_ && possible_executions_ > 0 && !RetryAllowed()) {
+    AskAgainLater(GuardedCallback(&EngineRequest::RetryRejectedDecode));
+    return;
+  }
+  if (!may_retry || !TryAcquireRetry()) {
     FailRequest(ErrorCode::kNoBackend,
                 "the decode servers tried rejected the request");
     return;
--- a/src/gateway/traffic/engine_request.h
+++ b/src/gateway/traffic/engine_request.h
@@ -117,6 +117,8 @@
   void OnDecodeEnd(const BackendServer& server, AttemptOutcome outcome);
   // The decode server stated that it did not execute the request.
   void OnDecodeNotExecuted();
+  // Tries again after a rejection, waits for the retry budget, or fails.
+  void RetryRejectedDecode();
   // The stream broke or the server failed: resumes or ends the request.
   void OnDecodeFailed(bool timed_out);
   // Why the stream may not be resumed at another server, apart from the retry
--- a/src/gateway/traffic/plain_request.cc
+++ b/src/gateway/traffic/plain_request.cc
@@ -60,6 +60,11 @@
     // it may have capacity by now.
     excluded_.clear();
     choice = ChooseServer(PlacementQuery{});
+  } else if (choice.server == nullptr && moved_ && !rejected_.empty()) {
+    // The same for those that rejected it after a move.
+    std::erase_if(excluded_,
+                  [this](const auto& id) { return rejected_.contains(id); });
+    choice = ChooseServer(PlacementQuery{});
   }
   if (choice.server == nullptr) {
     Fail(ErrorCode::kNoBackend, "the service has no usable server",
@@ -97,6 +102,11 @@
   }
   ++attempts_sent_;
   if (outcome.NotExecuted()) {
+    if (moved_) {
+      rejected_.insert(server.id);
+      RetryMovedRequest();
+      return;
+    }
     RetryOrFail(ErrorCode::kNoBackend,
                 "the servers tried have rejected the request");
     return;
@@ -155,6 +165,20 @@
   return room ? MoveObstacle::kNone : MoveObstacle::kNoRoom;
 }
 
+void PlainRequest::RetryMovedRequest() {
+  if (ended_) {
+    return;
+  }
+  bool may_retry = RetryObstacle(attempts_sent_, possible_executions_) ==
+                   MoveObstacle::kNone;
+  if (may_retry && !RetryAllowed()) {
+    AskAgainLater(GuardedCallback(&PlainRequest::RetryMovedRequest));
+    return;
+  }
+  RetryOrFail(ErrorCode::kNoBackend,
+              "the servers tried have rejected the request");
+}
+
 void PlainRequest::RetryOrFail(ErrorCode code, std::string_view why) {
   bool may_retry = RetryObstacle(attempts_sent_, possible_executions_) ==
                    MoveObstacle::kNone;
--- a/tests/unit/silent_servers_test.cc
+++ b/tests/unit/silent_servers_test.cc
@@ -290,6 +290,26 @@
   EXPECT_LT(SteadyClock::now() - start, Millis(1800));
 }
 
+// A request must not run on at two servers.
+TEST_F(SilentServersTest, MovedStreamIsClosedAtTheSilentServerFirst) {
+  std::shared_ptr<HttpResponder> first;
+  std::atomic<bool> closed{false};
+  std::atomic<bool> closed_before_next{false};
+  AddEngines(2, [&](const HttpRequest& request, auto responder) {
+    if (first == nullptr) {
+      first = responder;
+      first->SetDisconnectCallback([&closed] { closed = true; });
+      return;
+    }
+    closed_before_next = closed.load();
+    StreamEvents(io_, 1, 4, true)(request, responder);
+  });
+  Start(RequestKind::kStreaming, 3);
+  std::string response = SendRequest();
+  EXPECT_TRUE(IsWholeStream(response)) << response;
+  EXPECT_TRUE(closed_before_next);
+}
+
 // The only decode server is silent twice in a row, so that it would be avoided
 // until long after it has gone on.
 TEST_F(SilentServersTest, NewRequestsAreNotRefusedOnceTheServerHasGoneOn) {
@@ -370,5 +390,47 @@
   EXPECT_EQ(RetriesTaken(), 0);
 }
 
+// The request was taken from a silent server. The next one rejects it once,
+// when the retry budget is used up, and there is budget again after a while.
+class MovedRequestTest : public SilentServersTest {
+ protected:
+  FakeServer::Action SilentThenFullThen(FakeServer::Action action) {
+    auto requests = std::make_shared<std::atomic<int>>(0);
+    return [this, requests, action, silent = NeverRespond()](
+               const HttpRequest& request, auto responder) {
+      int number = (*requests)++;
+      if (number > 0) {
+        (number == 1 ? RespondNotExecuted() : action)(request, responder);
+        return;
+      }
+      silent(request, responder);
+      SharedRetryBudgetOptions one_retry{0, 1 / 0.45};
+      context_.retry_budget.SetOptions(one_retry);
+      After(io_, 2 * kSilence, [this] {
+        context_.retry_budget.SetOptions(SharedRetryBudgetOptions{});
+      });
+    };
+  }
+};
+
+TEST_F(MovedRequestTest, StreamIsServedIfTheNextServerIsFull) {
+  AddEngines(2, SilentThenFullThen(StreamEvents(io_, 1, 4, true)));
+  Start(RequestKind::kStreaming, 3);
+  std::string response = SendRequest();
+  EXPECT_TRUE(IsWholeStream(response)) << response;
+  EXPECT_EQ(RetriesTaken(), 2);
+}
+
+TEST_F(MovedRequestTest, IdempotentRequestIsAnsweredIfTheNextServerIsFull) {
+  FakeServer::Action action =
+      SilentThenFullThen(RespondWith(http::status::ok, "done"));
+  AddServer(ServerStage::kCombined, action);
+  AddServer(ServerStage::kCombined, action);
+  Start(RequestKind::kIdempotent, 3);
+  std::string response = SendRequest("GET");
+  EXPECT_TRUE(HasStatus(response, 200)) << response;
+  EXPECT_EQ(RetriesTaken(), 2);
+}
+
 }  // namespace
 }  // namespace mangoyoke
