Fix: stream was taken from a sound server since its deadline was near

A silence shorter than three target gaps counts as none again.

SilentServersTest.ServerIsNotTakenForSilentSinceTheDeadlineIsNear on the code before: decision=moved after 199.8 ms with 199.6 ms left, outcome=stream_broken, failure rate 0.49 of both servers.

--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -27,6 +27,8 @@
 constexpr double kMoveGapShare = 0.6;
 // The same as a share of the time left until the deadline.
 constexpr double kMoveTimeShare = 0.5;
+// A shorter silence than this many target gaps counts as none.
+constexpr int kSilentTargetGaps = 3;
 // Before the first event it is moved after this part of the target latency.
 constexpr double kFirstEventTimeoutFactor = 0.7;
 
@@ -56,9 +58,11 @@
     return left;
   }
   if (framer_.started()) {
-    return std::min(
-        FromMillis(kMoveTimeShare * ToMillis(left)),
-        FromMillis(kMoveGapShare * ToMillis(AbandonGap(*input_.route))));
+    double timeout_ms =
+        std::min(kMoveTimeShare * ToMillis(left),
+                 kMoveGapShare * ToMillis(AbandonGap(*input_.route)));
+    Duration shortest = kSilentTargetGaps * input_.route->target_gap;
+    return std::min(left, std::max(shortest, FromMillis(timeout_ms)));
   }
   return std::min(left, FromMillis(kFirstEventTimeoutFactor *
                                    ToMillis(input_.route->target_latency)));
--- a/tests/unit/silent_servers_test.cc
+++ b/tests/unit/silent_servers_test.cc
@@ -272,6 +272,34 @@
   EXPECT_EQ(RequestsFrom(0), 2);
 }
 
+// Events come every two target gaps until the deadline.
+TEST_F(SilentServersTest, ServerIsNotTakenForSilentSinceTheDeadlineIsNear) {
+  AddEngines(2, [this](const HttpRequest& request, auto responder) {
+    http::response_header<> head;
+    head.result(200);
+    head.set(kRequestIdHeader, request[kRequestIdHeader]);
+    head.set(http::field::content_type, "text/event-stream");
+    responder->BeginStream(head);
+    for (int id = 1; id <= 5; ++id) {
+      After(io_, (id - 1) * Millis(200), [responder, id] {
+        responder->Write("id: " + std::to_string(id) + "\ndata: t\n\n");
+        if (id == 5) {
+          responder->EndStream();
+        }
+      });
+    }
+  });
+  Start(RequestKind::kStreaming, 3);
+  std::string response =
+      SendRequest("POST", "X-Mangoyoke-Deadline-Ms: 900\r\n");
+  EXPECT_TRUE(IsWholeStream(response)) << response;
+  OnGateway([this] {
+    TimePoint now = SteadyClock::now();
+    EXPECT_EQ(context_.health.FailureRate(servers_[1]->record(), now), 0);
+    EXPECT_EQ(context_.health.FailureRate(servers_[2]->record(), now), 0);
+  });
+}
+
 // A server that has gone must not cost the stream either: the caller waits for
 // two seconds for the next event.
 TEST_F(SilentServersTest, StreamOfAServerThatStaysSilentMovesInTime) {
