--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -27,6 +27,8 @@
 constexpr double kMoveGapShare = 0.6;
 // The same as a share of the time left until the deadline.
 constexpr double kMoveTimeShare = 0.5;
+// A shorter silence than this many target gaps counts as none.
+constexpr int kSilentTargetGaps = 3;
 // Before the first event it is moved after this part of the target latency.
 constexpr double kFirstEventTimeoutFactor = 0.7;
 
@@ -62,9 +64,11 @@
     return left;
   }
   if (framer_.started()) {
-    return std::min(
-        FromMillis(kMoveTimeShare * ToMillis(left)),
-        FromMillis(kMoveGapShare * ToMillis(AbandonGap(*input_.route))));
+    double timeout_ms =
+        std::min(kMoveTimeShare * ToMillis(left),
+                 kMoveGapShare * ToMillis(AbandonGap(*input_.route)));
+    Duration shortest = kSilentTargetGaps * input_.route->target_gap;
+    return std::min(left, std::max(shortest, FromMillis(timeout_ms)));
   }
   return std::min(left, FromMillis(kFirstEventTimeoutFactor *
                                    ToMillis(input_.route->target_latency)));
@@ -228,8 +232,20 @@
 
 void EngineRequest::OnDecodeNotExecuted() {
   ++decode_rejections_;
-  if (decode_rejections_ >= kMaxDecodeRejections ||
-      TimeLeft() < Duration::zero() || !TryAcquireRetry()) {
+  RetryRejectedDecode();
+}
+
+void EngineRequest::RetryRejectedDecode() {
+  if (ended_) {
+    return;
+  }
+  bool may_retry = decode_rejections_ < kMaxDecodeRejections &&
+                   TimeLeft() >= Duration::zero();
+  if (may_retry && moved_ && possible_executions_ > 0 && !RetryAllowed()) {
+    AskAgainLater(GuardedCallback(&EngineRequest::RetryRejectedDecode));
+    return;
+  }
+  if (!may_retry || !TryAcquireRetry()) {
     FailRequest(ErrorCode::kNoBackend,
                 "the decode servers tried rejected the request");
     return;
