Serve requests that the next server rejects after a silence

Callers saw: 502, or a cut stream, with seconds of their deadline left, though the first server was sound and went on after a second. Cause: a request was taken from a silent server as soon as another one seemed to have room; if that one rejected it there was no way back: the first server stayed excluded, a plain request used up its four attempts within a millisecond, and a stream waited for room only for the time of its first move. Requests that no server can have executed are refused at once, as before.

--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -232,19 +232,8 @@
 
 void EngineRequest::OnDecodeNotExecuted() {
   ++decode_rejections_;
-  RetryRejectedDecode();
-}
-
-void EngineRequest::RetryRejectedDecode() {
-  if (ended_) {
-    return;
-  }
   bool may_retry = decode_rejections_ < kMaxDecodeRejections &&
                    TimeLeft() >= Duration::zero();
-  if (may_retry && moved_ && possible_executions_ > 0 && !RetryAllowed()) {
-    AskAgainLater(GuardedCallback(&EngineRequest::RetryRejectedDecode));
-    return;
-  }
   if (!may_retry || !TryAcquireRetry()) {
     FailRequest(ErrorCode::kNoBackend,
                 "the decode servers tried rejected the request");
@@ -263,6 +252,30 @@
   RetryAdmission();
 }
 
+bool EngineRequest::MayAskAgain() const {
+  return moved_ && possible_executions_ > 0 &&
+         ResumeObstacle(possible_executions_) == MoveObstacle::kNone;
+}
+
+void EngineRequest::RetryMovedRequest() {
+  if (ended_) {
+    return;
+  }
+  if (!RetryAllowed() || !TryAcquireRetry()) {
+    AskAgainLater(GuardedCallback(&EngineRequest::RetryMovedRequest));
+    return;
+  }
+  // Servers that rejected it may have capacity by now, and the silent one may
+  // have gone on.
+  excluded_.clear();
+  failed_prefills_.clear();
+  decode_rejections_ = 0;
+  unreachable_ = 0;
+  prefills_ = 0;
+  wait_deadline_ = SteadyClock::now() + MaxWait();
+  RetryAdmission();
+}
+
 MoveObstacle EngineRequest::ResumeObstacle(int executions) const {
   if (!input_.route->resumable || !framer_.resumable()) {
     return MoveObstacle::kRoute;
--- a/src/gateway/traffic/engine_request.cc
+++ b/src/gateway/traffic/engine_request.cc
@@ -278,6 +278,10 @@
 void EngineRequest::FailRequest(ErrorCode code,
                                 std::string_view why,
                                 std::optional<TimePoint> earliest) {
+  if (MayAskAgain()) {
+    AskAgainLater(GuardedCallback(&EngineRequest::RetryMovedRequest));
+    return;
+  }
   if (streaming_) {
     AbortStream(ErrorCode::kBackendBroken, why);
   } else if (possible_executions_ > 0) {
--- a/src/gateway/traffic/engine_request.h
+++ b/src/gateway/traffic/engine_request.h
@@ -120,8 +120,11 @@
   void OnDecodeEnd(const BackendServer& server, AttemptOutcome outcome);
   // The decode server stated that it did not execute the request.
   void OnDecodeNotExecuted();
-  // Tries again after a rejection, waits for the retry budget, or fails.
-  void RetryRejectedDecode();
+  // Whether a request that was taken from a silent server waits for a server
+  // instead of failing.
+  bool MayAskAgain() const;
+  // Admits such a request again, to any server.
+  void RetryMovedRequest();
   // The stream broke or the server failed: resumes or ends the request.
   void OnDecodeFailed(bool timed_out);
   // Why the stream may not be resumed at another server, apart from the retry
--- a/src/gateway/traffic/plain_request.cc
+++ b/src/gateway/traffic/plain_request.cc
@@ -55,13 +55,12 @@
     // it may have capacity by now.
     excluded_.clear();
     choice = ChooseServer(PlacementQuery{});
-  } else if (choice.server == nullptr && moved_ && !rejected_.empty()) {
-    // The same for those that rejected it after a move.
-    std::erase_if(excluded_,
-                  [this](const auto& id) { return rejected_.contains(id); });
-    choice = ChooseServer(PlacementQuery{});
   }
   if (choice.server == nullptr) {
+    if (MayAskAgain()) {
+      AskAgainLater(GuardedCallback(&PlainRequest::RetryMovedRequest));
+      return;
+    }
     Fail(ErrorCode::kNoBackend, "the service has no usable server",
          choice.pause_ends);
     return;
@@ -90,6 +89,8 @@
   if (outcome.result == ExchangeResult::kNotSent) {
     if (++unreachable_ < kMaxUnreachable && TimeLeft() > Duration::zero()) {
       StartNextAttempt();
+    } else if (MayAskAgain()) {
+      AskAgainLater(GuardedCallback(&PlainRequest::RetryMovedRequest));
     } else {
       Fail(ErrorCode::kNoBackend, "no connection to the last server tried");
     }
@@ -97,9 +98,9 @@
   }
   ++attempts_sent_;
   if (outcome.NotExecuted()) {
-    if (moved_) {
-      rejected_.insert(server.id);
-      RetryMovedRequest();
+    bool sent_often = attempts_sent_ >= kMaxAttempts;
+    if (MayAskAgain() && (sent_often || !RetryAllowed())) {
+      AskAgainLater(GuardedCallback(&PlainRequest::RetryMovedRequest));
       return;
     }
     RetryOrFail(ErrorCode::kNoBackend,
@@ -156,18 +157,25 @@
   return room ? MoveObstacle::kNone : MoveObstacle::kNoRoom;
 }
 
+bool PlainRequest::MayAskAgain() const {
+  constexpr int kAnyNumberSent = 0;
+  return moved_ && RetryObstacle(kAnyNumberSent, possible_executions_) ==
+                       MoveObstacle::kNone;
+}
+
 void PlainRequest::RetryMovedRequest() {
   if (ended_) {
     return;
   }
-  bool may_retry = RetryObstacle(attempts_sent_, possible_executions_) ==
-                   MoveObstacle::kNone;
-  if (may_retry && !RetryAllowed()) {
+  if (!RetryAllowed() || !TryAcquireRetry()) {
     AskAgainLater(GuardedCallback(&PlainRequest::RetryMovedRequest));
     return;
   }
-  RetryOrFail(ErrorCode::kNoBackend,
-              "the servers tried have rejected the request");
+  // Servers that rejected it may have capacity by now, and the silent one may
+  // have gone on.
+  excluded_.clear();
+  unreachable_ = 0;
+  StartNextAttempt();
 }
 
 void PlainRequest::RetryOrFail(ErrorCode code, std::string_view why) {
--- a/src/gateway/traffic/plain_request.h
+++ b/src/gateway/traffic/plain_request.h
@@ -27,9 +27,12 @@
   MoveObstacle SilentServerObstacle(const BackendServer& server);
   // Retries if that is allowed, else fails.
   void RetryOrFail(ErrorCode code, std::string_view why);
-  // The next server after a move rejected the request: sends it again, waits
-  // for the retry budget, or fails.
+  // Sends a request that was taken from a silent server to any server again, as
+  // soon as the retry budget allows it.
   void RetryMovedRequest();
+  // Whether a request that was taken from a silent server waits for a server
+  // instead of failing.
+  bool MayAskAgain() const;
   // Ends the request with the last error response of a server. If there is
   // none, ends it with `code`, or with kBackendBroken if `code` states that the
   // request was not executed although it may have been. `earliest`: when a
@@ -41,7 +44,6 @@
   Duration AttemptTimeout() const;
 
   int unreachable_ = 0;               // Servers that could not be reached.
-  std::set<BackendId> rejected_;      // Excluded servers that rejected it.
   bool caller_disconnected_ = false;  // No further attempts.
   // Sent to the caller if no attempt succeeds.
   std::optional<AttemptOutcome> last_error_response_;
