A slow response does not end the avoidance of its server

A request that was kept waiting for a silent server ended the server's avoidance with its response, however late: a plain server that takes two seconds for each request would hardly ever be avoided. Now only the next event of a running stream ends it. SilentServersTest passes as before.

--- a/src/gateway/traffic/active_request.cc
+++ b/src/gateway/traffic/active_request.cc
@@ -407,7 +407,6 @@
   context_.health.RecordOutcome(server, server_outcome, slowness,
                                 SteadyClock::now());
   if (server_outcome == ServerOutcome::kSuccess) {
-    RecordProgress();
     return;
   }
   LoadCharge load = context_.load.At(server.id, SteadyClock::now());
