Reject requests that are still being read at the end of a drain

Callers saw: a request whose body was still arriving when the drain timeout ran out got a closed connection. Cause: only active requests were told.

--- a/src/gateway/net/http_listener.cc
+++ b/src/gateway/net/http_listener.cc
@@ -70,6 +70,14 @@
     }
   }
 
+  void RejectUnfinished() {
+    for (const auto& weak : sessions_) {
+      if (auto session = weak.lock()) {
+        session->RejectUnfinished();
+      }
+    }
+  }
+
   size_t busy_connections() const {
     return static_cast<size_t>(
         std::count_if(sessions_.begin(), sessions_.end(), [](const auto& weak) {
@@ -171,6 +179,10 @@
   impl_->Stop();
 }
 
+void HttpListener::RejectUnfinished() {
+  impl_->RejectUnfinished();
+}
+
 size_t HttpListener::busy_connections() const {
   return impl_->busy_connections();
 }
--- a/src/gateway/net/http_listener.h
+++ b/src/gateway/net/http_listener.h
@@ -71,6 +71,8 @@
   void StartDraining();
   // Accepts no new connections and closes idle ones.
   void Stop();
+  // Rejects the requests that are being read, since the process stops.
+  void RejectUnfinished();
   // Number of connections that are not idle: a request is being read or
   // responded to, or a response may not have reached its caller yet.
   size_t busy_connections() const;
--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -404,6 +404,12 @@
   return longest_idle_timeout_;
 }
 
+void HttpSession::RejectUnfinished() {
+  if (!closed_ && state_ == State::kReading) {
+    RejectIncompleteRequest();
+  }
+}
+
 void HttpSession::CloseIfIdle() {
   if (state_ == State::kIdle && UnreadBytes() == 0) {
     Close(CloseReason::kStopping);
--- a/src/gateway/net/http_session.h
+++ b/src/gateway/net/http_session.h
@@ -49,6 +49,8 @@
   // Closes the connection if no request is being read or responded to, and none
   // has arrived in the socket.
   void CloseIfIdle();
+  // Rejects a request that is being read, since the process stops.
+  void RejectUnfinished();
   // Whether a request is being read or responded to, or the last response may
   // not have reached the caller yet. After a stop, a connection that is still
   // open has a request in its socket.
--- a/src/gateway/traffic/gateway_traffic.h
+++ b/src/gateway/traffic/gateway_traffic.h
@@ -53,8 +53,12 @@
   void StartDraining() { listener_.StartDraining(); }
   // Accepts no new connections and closes idle ones.
   void Stop() { listener_.Stop(); }
-  // Ends the requests that are still active with an error.
-  void EndAllRequests() { router_.EndAll(); }
+  // Ends the requests that are still active, or still being read, with an
+  // error.
+  void EndAllRequests() {
+    listener_.RejectUnfinished();
+    router_.EndAll();
+  }
   OpenWork open_work() const {
     return OpenWork{router_.active_requests(), listener_.busy_connections()};
   }
--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -167,9 +167,18 @@
       [this, &response] { response = Get(PortOf(0, kCallers), "/silent/x"); });
   EXPECT_TRUE(Within(kWaitTimeout,
                      [&silent] { return silent->requests_received() == 1; }));
+  std::string unfinished_response;
+  std::thread slow_caller([this, &unfinished_response] {
+    unfinished_response = SendAndReadAll(
+        PortOf(0, kCallers),
+        "POST /silent/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+  });
   EXPECT_EQ(Kill(0, SIGTERM), 0);
   caller.join();
+  slow_caller.join();
   EXPECT_TRUE(response.starts_with("HTTP/1.1 504")) << response;
+  EXPECT_TRUE(unfinished_response.starts_with("HTTP/1.1 408"))
+      << unfinished_response;
   RunOnServerThread([&silent] { silent.reset(); });
 }
 
