Comments: which class belongs to the traffic thread, where a wait's error shows

Found in the newcomer's reading: the line on threads had slipped to the struct that is passed between them.

--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -117,14 +117,15 @@
     return;
   }
   waiting_ = true;
-  socket_.async_wait(Tcp::socket::wait_read,
-                     [self = shared_from_this()](
-                         const boost::system::error_code& /*see OnReadable*/) {
-                       self->waiting_ = false;
-                       if (!self->closed_) {
-                         self->OnReadable();
-                       }
-                     });
+  // An error shows again when OnReadable reads.
+  socket_.async_wait(
+      Tcp::socket::wait_read,
+      [self = shared_from_this()](const boost::system::error_code& /*error*/) {
+        self->waiting_ = false;
+        if (!self->closed_) {
+          self->OnReadable();
+        }
+      });
 }
 
 void HttpSession::OnReadable() {
--- a/src/gateway/traffic/gateway_traffic.h
+++ b/src/gateway/traffic/gateway_traffic.h
@@ -20,7 +20,6 @@
 
 namespace mangoyoke {
 
-// Used on the traffic thread only.
 // What a process that stops has to wait for.
 struct OpenWork {
   size_t requests = 0;  // Active requests.
@@ -31,6 +30,7 @@
   bool operator==(const OpenWork&) const = default;
 };
 
+// Used on the traffic thread only.
 class GatewayTraffic {
  public:
   // `settings` must outlive the object.
