Log the parts of a prompt whose server ends

The parts of a prompt are decoded now. When a model server's response breaks off, its server is checked: a successor in the registry, or two refused connections 30 ms apart, mean that it has ended. Nothing else is decided by it yet.

--- a/src/gateway/core/codecs.h
+++ b/src/gateway/core/codecs.h
@@ -16,6 +16,7 @@
 #include "gateway/core/backend_registry.h"
 #include "gateway/core/backend_server.h"
 #include "gateway/core/instance_list.h"
+#include "gateway/core/prompt_parts.h"
 #include "gateway/core/serving_config.h"
 #include "mangoyoke/clock.h"
 #include "mangoyoke/error.h"
@@ -38,6 +39,7 @@
   std::string model;              // Empty if not for a model.
   int64_t prompt_tokens = 0;
   int64_t max_output_tokens = 0;
+  PromptParts prompt_parts;
   // Id of the last event that the caller has; empty: from the start.
   std::string resume_after;
 
--- a/src/gateway/net/timed_exchange.cc
+++ b/src/gateway/net/timed_exchange.cc
@@ -80,6 +80,7 @@
 
 void TimedExchange::Abort() {
   if (connection_) {
+    outcome_.aborted = true;
     connection_->Close();
     OnEnd(ExchangeResult::kIncomplete);
   }
--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -183,6 +183,7 @@
 void EngineRequest::OnDecodeEnd(const BackendServer& server,
                                 AttemptOutcome outcome) {
   RecordServerOutcome(server, outcome, 0);
+  CheckBrokenServer(server, outcome);
   if (!outcome.NotExecuted() || outcome.result == ExchangeResult::kNotSent ||
       outcome.response.wrong_server) {
     excluded_.insert(server.id);
--- a/src/gateway/traffic/engine_prefill.cc
+++ b/src/gateway/traffic/engine_prefill.cc
@@ -129,6 +129,7 @@
 void EngineRequest::OnPrefillEnd(const BackendServer& server,
                                  AttemptOutcome outcome) {
   RecordServerOutcome(server, outcome, 0);
+  CheckBrokenServer(server, outcome);
   if (outcome.result == ExchangeResult::kNotSent) {
     ++unreachable_;
     failed_prefills_.insert(server.id);
--- a/src/gateway/traffic/engine_request.h
+++ b/src/gateway/traffic/engine_request.h
@@ -127,6 +127,10 @@
   void RetryMovedRequest();
   // The stream broke or the server failed: resumes or ends the request.
   void OnDecodeFailed(bool timed_out);
+  // An attempt at `server` ended. If its response broke off, finds out whether
+  // the server ended with it, and logs the parts of the prompt.
+  void CheckBrokenServer(const BackendServer& server,
+                         const AttemptOutcome& outcome);
   // Why the stream may not be resumed at another server, apart from the retry
   // budget, when `executions` servers may have executed it.
   MoveObstacle ResumeObstacle(int executions) const;
--- a/src/gateway/traffic/server_attempt.h
+++ b/src/gateway/traffic/server_attempt.h
@@ -22,6 +22,11 @@
     return result == ExchangeResult::kNotSent ||
            (head && response.not_executed);
   }
+  // Whether the server, or the network, broke the response off.
+  bool BrokenOff() const {
+    return result == ExchangeResult::kIncomplete && !timed_out && !aborted &&
+           !NotExecuted();
+  }
 };
 
 struct AttemptCallbacks {
--- a/src/gateway/traffic/traffic_context.cc
+++ b/src/gateway/traffic/traffic_context.cc
@@ -33,7 +33,9 @@
       retry_budget(retry_budget_options, process_started),
       placement(
           std::make_unique<LeastTimePlacement>([this] { return Random(); })),
-      servers(std::make_shared<ServerSnapshot>()) {}
+      servers(std::make_shared<ServerSnapshot>()),
+      server_ends(io_context,
+                  [this]() -> const ServerSnapshot& { return *servers; }) {}
 
 TrafficContext::~TrafficContext() = default;
 
--- a/src/gateway/traffic/traffic_context.h
+++ b/src/gateway/traffic/traffic_context.h
@@ -19,6 +19,7 @@
 #include "gateway/core/server_notices.h"
 #include "gateway/core/shared_retry_budget.h"
 #include "gateway/net/connection_pool.h"
+#include "gateway/traffic/server_end_detector.h"
 
 namespace mangoyoke {
 
@@ -60,6 +61,7 @@
   // The active configuration; null until the first one was loaded.
   std::shared_ptr<const ServingConfig> config;
   std::shared_ptr<const ServerSnapshot> servers;
+  ServerEndDetector server_ends;
   // Requests that wait for engine capacity. Set by RequestRouter.
   EngineAdmission* admission = nullptr;
   // Attempts whose response no request waits for, by id.
--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -200,6 +200,20 @@
   EXPECT_EQ(caller_request.max_output_tokens, 80);
 }
 
+TEST(HttpCodecTest, DecodesThePartsOfAPrompt) {
+  HttpRequest request = MakeCallerRequest();
+  auto parts_of = [&request](const std::string& header) {
+    request.set(kPromptPartsHeader, header);
+    return PlatformCallerCodec().DecodeRequest(request).prompt_parts;
+  };
+  EXPECT_EQ(parts_of("5c1e:800, 91bd:410,e440:250"),
+            (PromptParts{{"5c1e", "91bd"}, "e440"}));
+  EXPECT_EQ(parts_of("e440:250"), (PromptParts{{}, "e440"}));
+  EXPECT_EQ(parts_of("a,,b:1,:2,c"), (PromptParts{{"a", "b"}, "c"}));
+  EXPECT_EQ(parts_of(std::string(100, 'x') + ":1,c:1"), (PromptParts{{}, "c"}));
+  EXPECT_EQ(parts_of(""), PromptParts{});
+}
+
 TEST(HttpCodecTest, UnreadableNumbersAreAbsent) {
   HttpRequest request = MakeCallerRequest();
   request.set(kDeadlineHeader, "12x");
