Quarantine prompt parts that crash the servers which respond to them

Cause: no instance connected the ends of servers with what their requests had in common. An end was a bad mark for the server; parts of prompts were never read, and nothing between instances carried such knowledge. Besides, a resumed stream ended up to four servers by itself.

Now core/prompt_quarantine weighs the ends of servers against the requests that were served, all instances exchange that evidence, and requests with a quarantined part are rejected before the queue, the prefill, the decode and each resume. A request with a suspect part is not repeated.

Why it works: only the part is at each end and in no served request. Callers, first parts, routes and servers are acquitted by the first success; servers that fail together count once; each end is weighed by how likely it is by chance.

--- a/include/mangoyoke/error.h
+++ b/include/mangoyoke/error.h
@@ -52,6 +52,7 @@
   kOutcomeTableFull = 209,   // No memory left to keep outcomes.
   kConnectFailed = 210,      // Could not connect to the backend server.
   kInstanceSuspended = 211,  // The instance was paused and is rejoining.
+  kPromptQuarantined = 212,  // A part of the prompt crashes servers.
 
   // 3xx: the request may have been executed.
   kOwnerGone = 300,         // The key's owner died; the outcome is unknown.
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -59,6 +59,10 @@
               "the backend server cannot be connected"},
     ErrorInfo{ErrorCode::kInstanceSuspended, "instance_suspended", 503,
               kNotExecuted, "the instance was paused and is rejoining"},
+    ErrorInfo{ErrorCode::kPromptQuarantined, "prompt_quarantined", 503,
+              kNotExecuted,
+              "servers ended while they responded to prompts with a part of "
+              "this one"},
     ErrorInfo{ErrorCode::kOwnerGone, "owner_gone", 502, kUnknown,
               "the instance that owned the key is gone"},
     ErrorInfo{ErrorCode::kOwnerUnreachable, "owner_unreachable", 502, kUnknown,
--- a/src/gateway/core/backend_registry.cc
+++ b/src/gateway/core/backend_registry.cc
@@ -9,6 +9,10 @@
 
 namespace mangoyoke {
 
+std::string IncarnationOf(const BackendServer& server) {
+  return server.id + "/" + std::to_string(server.start_time_ms);
+}
+
 std::string_view StageName(ServerStage stage) {
   switch (stage) {
     case ServerStage::kCombined:
--- a/src/gateway/core/backend_server.h
+++ b/src/gateway/core/backend_server.h
@@ -41,6 +41,9 @@
   bool operator==(const BackendServer&) const = default;
 };
 
+// Identifies one incarnation of a server.
+std::string IncarnationOf(const BackendServer& server);
+
 // All known backend servers at one version of the registry. Published as an
 // immutable value.
 struct ServerSnapshot {
--- a/src/gateway/traffic/active_request.cc
+++ b/src/gateway/traffic/active_request.cc
@@ -95,6 +95,12 @@
   }
 }
 
+void ActiveRequestTable::NotifyQuarantine() {
+  for (auto& [id, request] : requests_) {
+    request->OnQuarantine();
+  }
+}
+
 ActiveRequest::ActiveRequest(TrafficContext& context,
                              ActiveRequestTable& table,
                              RoutedRequest input)
--- a/src/gateway/traffic/active_request.h
+++ b/src/gateway/traffic/active_request.h
@@ -55,6 +55,8 @@
   void ScheduleRemoval(uint64_t id);
   // Ends every active request with an error, since the process stops.
   void EndAll();
+  // Tells every active request that a part of prompts was quarantined.
+  void NotifyQuarantine();
   size_t size() const { return requests_.size(); }
 
  private:
@@ -89,6 +91,8 @@
   // Ends the request with the error that fits what may have been executed; no
   // effect if it has ended.
   void EndNow(std::string_view why);
+  // A part of prompts was quarantined.
+  virtual void OnQuarantine() {}
 
  protected:
   // Starts serving the request; called by Start().
--- a/src/gateway/traffic/engine_crash.cc
+++ b/src/gateway/traffic/engine_crash.cc
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "gateway/traffic/engine_request.h"
+#include "gateway/traffic/quarantine_decisions.h"
 
 namespace mangoyoke {
 namespace {
@@ -25,18 +26,63 @@
   // The request may have ended before the check has.
   context_.server_ends.Check(
       server,
-      [id = input_.caller_request.id, server_id = server.id,
-       stage = server.stage, prompt = input_.caller_request.prompt_parts,
-       ms = ToMillis(outcome.elapsed)](ServerFate fate) {
+      [&context = context_, server, id = input_.caller_request.id,
+       prompt = input_.caller_request.prompt_parts, elapsed = outcome.elapsed,
+       broken_at = SteadyClock::now()](ServerFate fate) {
         LogEvent("response_broken_off", LogLevel::kWarning)
             .Field("request", id)
-            .Field("server", server_id)
+            .Field("server", server.id)
             .Field("fate", ServerFateName(fate))
-            .Field("stage", StageName(stage))
-            .Field("ms", ms)
+            .Field("stage", StageName(server.stage))
+            .Field("ms", ToMillis(elapsed))
             .Field("prompt_parts", JoinIds(prompt.shared))
             .Field("own_part", prompt.own);
+        if (fate == ServerFate::kEnded) {
+          context.quarantine.RecordServerEnd(IncarnationOf(server), prompt,
+                                             elapsed, broken_at);
+          DecideQuarantine(context);
+        }
       });
 }
 
+void EngineRequest::RecordServed(Duration time) {
+  context_.quarantine.RecordSuccess(input_.caller_request.prompt_parts, time,
+                                    SteadyClock::now());
+  if (context_.quarantine.HasRecords()) {
+    DecideQuarantine(context_);
+  }
+}
+
+bool EngineRequest::EndIfQuarantined() {
+  const PromptParts& prompt = input_.caller_request.prompt_parts;
+  auto quarantined = context_.quarantine.Find(prompt, SteadyClock::now());
+  bool suspect =
+      possible_executions_ > 0 && context_.quarantine.IsSuspect(prompt);
+  if (!quarantined && !suspect) {
+    return false;
+  }
+  constexpr std::string_view kWhy =
+      "servers ended while they responded to prompts with a part of this one";
+  LogEvent("prompt_kept_from_servers", LogLevel::kWarning)
+      .Field("request", input_.caller_request.id)
+      .Field("part", quarantined ? quarantined->part : "")
+      .Field("why", quarantined ? "quarantined" : "suspect")
+      .Field("may_have_run", static_cast<int64_t>(possible_executions_));
+  if (streaming_) {
+    AbortStream(ErrorCode::kBackendBroken, kWhy);
+  } else if (possible_executions_ > 0) {
+    SendErrorResponse(ErrorCode::kBackendBroken, kWhy);
+  } else {
+    SendErrorResponse(ErrorCode::kPromptQuarantined, kWhy, quarantined->until);
+  }
+  return true;
+}
+
+void EngineRequest::OnQuarantine() {
+  // An attempt in progress is at a server already.
+  if (!ended_ && !attempt_) {
+    EndIfQuarantined();
+  }
+}
+
 }  // namespace mangoyoke
--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -48,6 +48,9 @@
 }  // namespace
 
 void EngineRequest::Decode() {
+  if (EndIfQuarantined()) {
+    return;
+  }
   auto server = std::exchange(decode_server_, std::nullopt);
   if (server && IsCurrent(*server) && WantsWork(*server)) {
     StartDecode(*server);
@@ -214,6 +217,9 @@
       OnDecodeFailed(false);
       return;
     }
+    if (IsFramed(*outcome.head)) {
+      RecordServed(outcome.elapsed);
+    }
     input_.responder->Write(std::move(last));
     context_.metrics.Observe("mangoyoke_longest_gap_ms", longest_gap_ms_);
     context_.output_length.Record(input_.service, GeneratedTokens());
@@ -228,6 +234,9 @@
     FailOnFalsePromise();
     return;
   }
+  if (outcome.Succeeded() && IsFramed(*outcome.head)) {
+    RecordServed(outcome.elapsed);
+  }
   Reply(*outcome.head, std::move(outcome.body));
 }
 
--- a/src/gateway/traffic/engine_prefill.cc
+++ b/src/gateway/traffic/engine_prefill.cc
@@ -80,6 +80,9 @@
 }
 
 void EngineRequest::Prefill() {
+  if (EndIfQuarantined()) {
+    return;
+  }
   PlacementChoice choice = ChoosePrefillServer();
   if (handle_ || prefill_at_decode_ || choice.server == nullptr ||
       prefills_ >= kMaxPrefills || unreachable_ >= kMaxUnreachable) {
--- a/src/gateway/traffic/engine_request.cc
+++ b/src/gateway/traffic/engine_request.cc
@@ -196,7 +196,7 @@
 }
 
 bool EngineRequest::TryAdmit() {
-  if (ended_) {
+  if (ended_ || EndIfQuarantined()) {
     return true;
   }
   DropExpiredHandle();
--- a/src/gateway/traffic/engine_request.h
+++ b/src/gateway/traffic/engine_request.h
@@ -34,6 +34,7 @@
   // The request passed its wait deadline in the admission queue. Ends it with
   // an error.
   void OnWaitExpired();
+  void OnQuarantine() override;
 
  private:
   // Expected time from admission to the first event, in milliseconds, besides
@@ -128,9 +129,14 @@
   // The stream broke or the server failed: resumes or ends the request.
   void OnDecodeFailed(bool timed_out);
   // An attempt at `server` ended. If its response broke off, finds out whether
-  // the server ended with it, and logs the parts of the prompt.
+  // the server ended with it. Such ends are the evidence of the quarantine.
   void CheckBrokenServer(const BackendServer& server,
                          const AttemptOutcome& outcome);
+  // A server served the request whole, in `time`.
+  void RecordServed(Duration time);
+  // Ends the request if its prompt has a quarantined part, or if it would be
+  // repeated though it may be what ended a server. Returns whether it did.
+  bool EndIfQuarantined();
   // Why the stream may not be resumed at another server, apart from the retry
   // budget, when `executions` servers may have executed it.
   MoveObstacle ResumeObstacle(int executions) const;
--- a/src/gateway/traffic/load_reporter.cc
+++ b/src/gateway/traffic/load_reporter.cc
@@ -103,7 +103,10 @@
       self_(std::move(self)),
       zone_(std::move(zone)),
       incarnation_(context.random()),
-      socket_(context.io) {}
+      socket_(context.io),
+      quarantine_(context,
+                  [this](const std::vector<uint8_t>& report,
+                         const Udp::endpoint& peer) { Send(report, peer); }) {}
 
 Result<Unit> LoadReporter::Start(const std::string& ip, uint16_t port) {
   port_ = port;
@@ -144,23 +147,26 @@
 }
 
 void LoadReporter::SetPeers(const ReportGroup& group) {
-  cell_ = group.cell;
-  cell_peers_ = EndpointsOf(group.cell_peers);
-  zone_peers_ = EndpointsOf(group.zone_peers);
-  remote_peers_ = EndpointsOf(group.remote_peers);
+  endpoints_.cell = group.cell;
+  endpoints_.cell_peers = EndpointsOf(group.cell_peers);
+  endpoints_.zone_peers = EndpointsOf(group.zone_peers);
+  endpoints_.remote_peers = EndpointsOf(group.remote_peers);
+  quarantine_.SetPeers(endpoints_);
 }
 
 void LoadReporter::Tick() {
   TimePoint now = SteadyClock::now();
   ReportToCell(now);
+  quarantine_.Tick(now);
   if (now - last_cell_sum_ >= kCellSumInterval) {
     last_cell_sum_ = now;
-    SendSum(ReportScope::kInstance, ReportScope::kCell, cell_, zone_peers_,
-            now);
+    SendSum(ReportScope::kInstance, ReportScope::kCell, endpoints_.cell,
+            endpoints_.zone_peers, now);
   }
   if (now - last_zone_sum_ >= kZoneSumInterval) {
     last_zone_sum_ = now;
-    SendSum(ReportScope::kCell, ReportScope::kZone, zone_, remote_peers_, now);
+    SendSum(ReportScope::kCell, ReportScope::kZone, zone_,
+            endpoints_.remote_peers, now);
   }
 }
 
@@ -182,7 +188,7 @@
   } else {
     report = EncodeOwnReport(false, changes, {});
   }
-  for (const Udp::endpoint& peer : cell_peers_) {
+  for (const Udp::endpoint& peer : endpoints_.cell_peers) {
     Send(report, peer);
   }
 }
@@ -241,6 +247,10 @@
 void LoadReporter::HandleReport(const uint8_t* data, size_t size) {
   Json report = DecodeMessagePack(data, size);
   try {
+    if (report.at(0) == kQuarantineReport) {
+      quarantine_.Apply(report, SteadyClock::now());
+      return;
+    }
     auto scope = DecodeScope(report.at(0));
     if (scope) {
       ApplyReport(*scope, report);
@@ -257,7 +267,7 @@
   auto source = report.at(1).get<std::string>();
   // A peer may still have an older list of members and then send a sum that
   // includes this instance.
-  if ((scope == ReportScope::kCell && source == cell_) ||
+  if ((scope == ReportScope::kCell && source == endpoints_.cell) ||
       (scope == ReportScope::kZone && source == zone_)) {
     return;
   }
--- a/src/gateway/traffic/load_reporter.h
+++ b/src/gateway/traffic/load_reporter.h
@@ -8,6 +8,8 @@
 //   pace. All instances do so, hence a receiver gets these sums more often.
 //
 // Nothing is sent again: the next complete report makes up for a lost one.
+//
+// The reports of the quarantine (quarantine_reporter.h) use the same socket.
 
 #ifndef MANGOYOKE_GATEWAY_TRAFFIC_LOAD_REPORTER_H_
 #define MANGOYOKE_GATEWAY_TRAFFIC_LOAD_REPORTER_H_
@@ -22,6 +24,7 @@
 
 #include "base/periodic_timer.h"
 #include "gateway/core/report_group.h"
+#include "gateway/traffic/quarantine_reporter.h"
 #include "gateway/traffic/traffic_context.h"
 
 namespace mangoyoke {
@@ -40,7 +43,7 @@
 
  private:
   using Udp = boost::asio::ip::udp;
-  using Endpoints = std::vector<Udp::endpoint>;
+  using Endpoints = ReportEndpoints::Endpoints;
 
   Endpoints EndpointsOf(const std::vector<MemberRecord>& peers) const;
   // Sends what is due.
@@ -74,10 +77,8 @@
   uint64_t incarnation_;  // Random; differs after a restart.
   Udp::socket socket_;
   uint16_t port_ = 0;
-  std::string cell_;
-  Endpoints cell_peers_;
-  Endpoints zone_peers_;
-  Endpoints remote_peers_;
+  ReportEndpoints endpoints_;
+  QuarantineReporter quarantine_;
   // Load and retry counts in the last report to the cell.
   LoadByServer reported_load_;
   std::map<ServiceId, RetryCounts> reported_counts_;
--- a/src/gateway/traffic/request_router.cc
+++ b/src/gateway/traffic/request_router.cc
@@ -33,6 +33,7 @@
                 }
               }}) {
   context_.admission = &admission_;
+  context_.on_quarantine = [this] { requests_.NotifyQuarantine(); };
 }
 
 CallerLimits RequestRouter::Limits() const {
--- a/src/gateway/traffic/server_end_detector.cc
+++ b/src/gateway/traffic/server_end_detector.cc
@@ -16,10 +16,6 @@
 // only if it is repeated after this time.
 constexpr Duration kSecondConnectAfter = Millis(30);
 
-std::string IncarnationOf(const BackendServer& server) {
-  return server.id + "/" + std::to_string(server.start_time_ms);
-}
-
 }  // namespace
 
 std::string_view ServerFateName(ServerFate fate) {
--- a/src/gateway/traffic/traffic_context.h
+++ b/src/gateway/traffic/traffic_context.h
@@ -4,6 +4,7 @@
 #define MANGOYOKE_GATEWAY_TRAFFIC_TRAFFIC_CONTEXT_H_
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -14,6 +15,7 @@
 #include "gateway/core/output_length.h"
 #include "gateway/core/placement.h"
 #include "gateway/core/prefill_speed.h"
+#include "gateway/core/prompt_quarantine.h"
 #include "gateway/core/server_health.h"
 #include "gateway/core/server_load.h"
 #include "gateway/core/server_notices.h"
@@ -62,6 +64,9 @@
   std::shared_ptr<const ServingConfig> config;
   std::shared_ptr<const ServerSnapshot> servers;
   ServerEndDetector server_ends;
+  PromptQuarantine quarantine;
+  // A part of prompts was quarantined. Set by RequestRouter.
+  std::function<void()> on_quarantine;
   // Requests that wait for engine capacity. Set by RequestRouter.
   EngineAdmission* admission = nullptr;
   // Attempts whose response no request waits for, by id.
--- a/tests/integration/crashing_prompts_test.cc
+++ b/tests/integration/crashing_prompts_test.cc
@@ -51,7 +51,7 @@
     std::string listed;  // The id of its row in the store.
   };
 
-  CrashingPromptsTest() : GatewayProcesses(kFirstPort) {
+  CrashingPromptsTest() : GatewayProcesses(kFirstPort, true) {
     for (int i = 0; i < kPrefillServers + kDecodeServers; ++i) {
       Place place;
       place.port = kFirstModelPort + i;
@@ -151,7 +151,8 @@
                               "X-Mangoyoke-Prompt-Prefix: " +
                               parts + ",own" + id +
                               ":50\r\n"
-                              "Connection: close\r\nContent-Length: 0\r\n\r\n");
+                              "Connection: close\r\nContent-Length: 0\r\n\r\n",
+                          IpOf(instance));
   }
 
   void RunSoundCaller(int caller) {
--- a/tests/support/gateway_processes.h
+++ b/tests/support/gateway_processes.h
@@ -55,11 +55,13 @@
 
 // Sends `bytes` to `port` and returns everything received until the peer closes
 // the connection; empty if connecting fails.
-inline std::string SendAndReadAll(int port, const std::string& bytes) {
+inline std::string SendAndReadAll(int port,
+                                  const std::string& bytes,
+                                  const std::string& ip = "127.0.0.1") {
   boost::asio::io_context io;
   Tcp::socket socket(io);
   boost::system::error_code error;
-  socket.connect(Tcp::endpoint(boost::asio::ip::address_v4::loopback(),
+  socket.connect(Tcp::endpoint(boost::asio::ip::make_address(ip),
                                static_cast<uint16_t>(port)),
                  error);
   std::string received;
@@ -92,7 +94,10 @@
 // the test fails.
 class GatewayProcesses : public ::testing::Test {
  protected:
-  explicit GatewayProcesses(int first_port) : first_port_(first_port) {
+  // With `load_reports`, each instance has an IP of its own, at which it serves
+  // callers and peers, and the instances report to each other.
+  explicit GatewayProcesses(int first_port, bool load_reports = false)
+      : first_port_(first_port), load_reports_(load_reports) {
     for (int i = 0; i < kInstances; ++i) {
       endpoints_.push_back(std::make_unique<FakeStoreEndpoint>(
           io_, store_, Address(PortOf(i, kStore))));
@@ -140,6 +145,13 @@
     return first_port_ + instance * kPortsPerInstance + port;
   }
 
+  std::string IpOf(int instance) const {
+    return "127.0.0." + std::to_string(load_reports_ ? 1 + instance : 1);
+  }
+  std::string AddressOf(int instance, PortKind port) const {
+    return IpOf(instance) + ":" + std::to_string(PortOf(instance, port));
+  }
+
   // Registers a ready backend server of `service`.
   void PutServer(const std::string& service, const std::string& id, int port) {
     store_.Put("servers", id,
@@ -170,14 +182,15 @@
         (directory_ / ("instance-" + std::to_string(i) + ".ini")).string();
     std::ofstream file(path);
     file << "[instance]\nid = i" << i
-         << "\nzone = z\n[listen]\ncallers = " << Address(PortOf(i, kCallers))
+         << "\nzone = z\n[listen]\ncallers = " << AddressOf(i, kCallers)
          << "\nready = " << Address(PortOf(i, kReady))
          << "\nentries = " << Address(PortOf(i, kInstanceList))
-         << "\npeers = " << Address(PortOf(i, kPeers))
+         << "\npeers = " << AddressOf(i, kPeers)
          << "\nmetrics = " << Address(PortOf(i, kMetrics))
+         << "\nload_port = " << (load_reports_ ? PortOf(0, kLoad) : 0)
          << "\n[store]\naddress = " << Address(PortOf(i, kStore))
-         << "\n[peers]\nknown = " << Address(PortOf(0, kPeers)) << ","
-         << Address(PortOf(1, kPeers)) << "\n";
+         << "\n[peers]\nknown = " << AddressOf(0, kPeers) << ","
+         << AddressOf(1, kPeers) << "\n";
     return path;
   }
 
@@ -250,6 +263,7 @@
 
  private:
   int first_port_;
+  bool load_reports_;
 };
 
 }  // namespace mangoyoke
