Reject requests that would be cut at the end of a drain

Cause: admission looks at the deadline and the route, never at the end of the drain.

While an instance drains, a request that no server may have executed, and that would not be served before the process ends its requests, is rejected: when it has been read, before each further try, and whenever it is looked at in the admission queue. 503 'leaving' with a short Retry-After is true and sends the caller to another instance.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -102,22 +102,25 @@
   }
 
   void WaitForSignal() {
-    signals_.async_wait(
-        [this](const boost::system::error_code& error, int signal) {
-          if (error) {
-            return;
-          }
-          if (signal == SIGHUP) {
-            Reload();
-            WaitForSignal();
-            return;
-          }
-          LogEvent("leaving").Field("signal", static_cast<int64_t>(signal));
-          control_.StartDraining();
-          boost::asio::post(traffic_io_, [this] { traffic_.StartDraining(); });
-          drain_started_ = SteadyClock::now();
-          PollOpenWork();
-        });
+    signals_.async_wait([this](const boost::system::error_code& error,
+                               int signal) {
+      if (error) {
+        return;
+      }
+      if (signal == SIGHUP) {
+        Reload();
+        WaitForSignal();
+        return;
+      }
+      LogEvent("leaving").Field("signal", static_cast<int64_t>(signal));
+      control_.StartDraining();
+      drain_started_ = SteadyClock::now();
+      TimePoint stops_at =
+          drain_started_ + settings_.drain_timeout - kKillMargin;
+      boost::asio::post(traffic_io_,
+                        [this, stops_at] { traffic_.StartDraining(stops_at); });
+      PollOpenWork();
+    });
   }
 
   // On the traffic thread. `waited`: since the control thread handed it over.
--- a/src/gateway/traffic/active_request.cc
+++ b/src/gateway/traffic/active_request.cc
@@ -25,6 +25,9 @@
 // while, as a share of that time.
 constexpr double kPauseSpreadShare = 0.5;
 constexpr unsigned kServerErrors = 500;
+// How long a request of a route takes that has served none yet, in target
+// latencies.
+constexpr int kUnknownServiceTargets = 3;
 // How often a request at a silent server looks for another server.
 constexpr Duration kAskAgainAfter = Millis(250);
 
@@ -132,7 +135,9 @@
   });
   input_.responder->SetDisconnectCallback(
       GuardedCallback(&ActiveRequest::OnCallerDisconnected));
-  Begin();
+  if (!RejectIfTooLateForStop()) {
+    Begin();
+  }
 }
 
 void ActiveRequest::OnCallerDisconnected() {
@@ -217,6 +222,27 @@
       "that it did not execute the request");
 }
 
+bool ActiveRequest::RejectIfTooLateForStop() {
+  if (!context_.stops_at || possible_executions_ > 0 ||
+      deadline_ <= *context_.stops_at) {
+    return false;
+  }
+  Duration needed =
+      context_.service_times.Typical(input_.route->id)
+          .value_or(kUnknownServiceTargets * input_.route->target_latency);
+  Duration left = *context_.stops_at - SteadyClock::now();
+  if (left >= needed) {
+    return false;
+  }
+  LogEvent("too_late_for_stop")
+      .Field("request", input_.caller_request.id)
+      .Field("needed_ms", ToMillis(needed))
+      .Field("left_ms", ToMillis(left));
+  SendErrorResponse(ErrorCode::kLeaving,
+                    "the instance stops before the request could be served");
+  return true;
+}
+
 void ActiveRequest::Reply(const http::response_header<>& head,
                           std::string body) {
   HttpResponse response(context_.backends.EncodeResponseHead(head));
@@ -256,6 +282,9 @@
   context_.metrics.Observe("mangoyoke_request_ms", ToMillis(Age()));
   {
     bool served = outcome == "answered" || outcome == "streamed";
+    if (served) {
+      context_.service_times.Record(input_.route->id, Age());
+    }
     LogEvent line("request_end", served ? LogLevel::kInfo : LogLevel::kWarning);
     line.Field("request", input_.caller_request.id)
         .Field("route", input_.route->id)
--- a/src/gateway/traffic/active_request.h
+++ b/src/gateway/traffic/active_request.h
@@ -129,6 +129,9 @@
   bool FalselyPromises(unsigned status) const;
   // Ends the request after such a response.
   void FailOnFalsePromise();
+  // Rejects the request if no server may have executed it and it would hardly
+  // be served before this process stops. Returns whether it did.
+  bool RejectIfTooLateForStop();
   // Sends a backend server's complete response.
   void Reply(const http::response_header<>& head, std::string body);
   // Ends a streamed response normally.
--- a/src/gateway/traffic/engine_request.cc
+++ b/src/gateway/traffic/engine_request.cc
@@ -196,7 +196,7 @@
 }
 
 bool EngineRequest::TryAdmit() {
-  if (ended_ || EndIfQuarantined()) {
+  if (ended_ || EndIfQuarantined() || RejectIfTooLateForStop()) {
     return true;
   }
   DropExpiredHandle();
--- a/src/gateway/traffic/gateway_traffic.cc
+++ b/src/gateway/traffic/gateway_traffic.cc
@@ -57,6 +57,11 @@
   reporter_.SetPeers(group);
 }
 
+void GatewayTraffic::StartDraining(TimePoint stops_at) {
+  context_.stops_at = stops_at;
+  listener_.StartDraining();
+}
+
 void GatewayTraffic::SetRetryBudget(const SharedRetryBudgetOptions& options) {
   context_.retry_budget.SetOptions(options);
 }
--- a/src/gateway/traffic/gateway_traffic.h
+++ b/src/gateway/traffic/gateway_traffic.h
@@ -50,7 +50,8 @@
   void SetPeers(const ReportGroup& group);
   void SetRetryBudget(const SharedRetryBudgetOptions& options);
   // From now on responses tell callers that their connection will be closed.
-  void StartDraining() { listener_.StartDraining(); }
+  // Requests that cannot be served before `stops_at` are rejected.
+  void StartDraining(TimePoint stops_at);
   // Accepts no new connections and closes idle ones.
   void Stop() { listener_.Stop(); }
   // Ends the requests that are still active, or still being read, with an
--- a/src/gateway/traffic/plain_request.cc
+++ b/src/gateway/traffic/plain_request.cc
@@ -48,6 +48,9 @@
 }
 
 void PlainRequest::StartNextAttempt() {
+  if (RejectIfTooLateForStop()) {
+    return;
+  }
   PlacementChoice choice = ChooseServer(PlacementQuery{});
   if (choice.server == nullptr && !excluded_.empty() &&
       possible_executions_ == 0) {
--- a/src/gateway/traffic/traffic_context.h
+++ b/src/gateway/traffic/traffic_context.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 
 #include "base/metrics.h"
@@ -19,6 +20,7 @@
 #include "gateway/core/server_health.h"
 #include "gateway/core/server_load.h"
 #include "gateway/core/server_notices.h"
+#include "gateway/core/service_times.h"
 #include "gateway/core/shared_retry_budget.h"
 #include "gateway/net/connection_pool.h"
 #include "gateway/traffic/server_end_detector.h"
@@ -59,6 +61,9 @@
   CallerRetryDetector caller_retry_detector;
   PrefillSpeed prefill_speed;
   OutputLength output_length;
+  ServiceTimes service_times;
+  // When this process ends all requests, since it stops.
+  std::optional<TimePoint> stops_at;
   std::unique_ptr<ServerPlacement> placement;
   // The active configuration; null until the first one was loaded.
   std::shared_ptr<const ServingConfig> config;
--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -182,6 +182,57 @@
   RunOnServerThread([&silent] { silent.reset(); });
 }
 
+// It would be cut at the end of the drain, with no way to know whether it was
+// executed.
+TEST_F(GatewayTest, RequestReadTooLateInADrainIsNotPassedOn) {
+  constexpr Millis kServiceTime{900};
+  constexpr int kSecondsUntilItIsWhole = 7;
+  std::unique_ptr<FakeServer> slow;
+  std::string config = Config(2, {"/slow/"});
+  for (size_t at = config.find("\"plain\""); at != std::string::npos;
+       at = config.find("\"plain\"", at)) {
+    config.replace(at, 7, "\"slow\"");
+  }
+  RunOnServerThread([&] {
+    slow = std::make_unique<FakeServer>(
+        io_, Record("slow", kSilentPort),
+        [this, kServiceTime](const HttpRequest& request, auto responder) {
+          auto timer =
+              std::make_shared<boost::asio::steady_timer>(io_, kServiceTime);
+          timer->async_wait(
+              [timer, responder,
+               response = StampedResponse(request, http::status::ok, "done")](
+                  const boost::system::error_code&) {
+                responder->Reply(response);
+              });
+        });
+    PutServer("slow", "slow", kSilentPort);
+    store_.Put("op", "config", config);
+  });
+  WaitForAll();
+  EXPECT_TRUE(Within(kWaitTimeout, [this] { return Serves(0, "/slow/x"); }));
+  int served = slow->requests_received();
+  boost::asio::io_context io;
+  Tcp::socket socket(io);
+  socket.connect(Tcp::endpoint(boost::asio::ip::address_v4::loopback(),
+                               PortOf(0, kCallers)));
+  std::string head = "POST /slow/x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                     std::to_string(kSecondsUntilItIsWhole) + "\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(head));
+  kill(pids_[0], SIGTERM);
+  boost::system::error_code error;
+  for (int i = 0; i < kSecondsUntilItIsWhole; ++i) {
+    std::this_thread::sleep_for(Seconds(1));
+    boost::asio::write(socket, boost::asio::buffer("b", 1), error);
+  }
+  std::string response;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(response), error);
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 503")) << response;
+  EXPECT_EQ(slow->requests_received(), served);
+  EXPECT_EQ(Kill(0, SIGTERM), 0);
+  RunOnServerThread([&slow] { slow.reset(); });
+}
+
 TEST_F(GatewayTest, ReloadCutsNothingAndTakesTheNewStoreAddress) {
   WaitForAll();
   std::string response;
