The end of an unframed stream may be the end of its server

A stream with neither length nor chunks that ends between two events looks whole. If its server crashed at that moment, the crash was no evidence against the parts of its prompt (it already was no success for them).

Such an end is checked like a broken response now: a successor in the registry or two refused connections make it the end of a server. The caller's response is unchanged, as an orderly end of the connection is how such a response ends.

--- a/src/gateway/traffic/engine_crash.cc
+++ b/src/gateway/traffic/engine_crash.cc
@@ -20,7 +20,10 @@
 
 void EngineRequest::CheckBrokenServer(const BackendServer& server,
                                       const AttemptOutcome& outcome) {
-  if (!outcome.BrokenOff()) {
+  // The end of an unframed stream may be the end of its server.
+  bool unframed_stream = outcome.result == ExchangeResult::kComplete &&
+                         outcome.response.event_stream && !outcome.Framed();
+  if (!outcome.BrokenOff() && !unframed_stream) {
     return;
   }
   // The request may have ended before the check has.
--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -39,12 +39,6 @@
                              kAbandonTargetGaps * route.target_gap});
 }
 
-// Whether the end of the body is marked. Else it ends with the connection.
-bool IsFramed(const http::response_header<>& head) {
-  return head.count(http::field::content_length) > 0 ||
-         head.count(http::field::transfer_encoding) > 0;
-}
-
 }  // namespace
 
 void EngineRequest::Decode() {
@@ -211,13 +205,13 @@
     return;
   }
   if (outcome.response.status == 200 && outcome.response.event_stream) {
-    std::string last = framer_.Finish(IsFramed(*outcome.head));
+    std::string last = framer_.Finish(outcome.Framed());
     if (framer_.fault() != StreamFault::kNone) {
       LogStreamFault();
       OnDecodeFailed(false);
       return;
     }
-    if (IsFramed(*outcome.head)) {
+    if (outcome.Framed()) {
       RecordServed(outcome.elapsed);
     }
     input_.responder->Write(std::move(last));
@@ -234,7 +228,7 @@
     FailOnFalsePromise();
     return;
   }
-  if (outcome.Succeeded() && IsFramed(*outcome.head)) {
+  if (outcome.Succeeded() && outcome.Framed()) {
     RecordServed(outcome.elapsed);
   }
   Reply(*outcome.head, std::move(outcome.body));
--- a/src/gateway/traffic/engine_request.h
+++ b/src/gateway/traffic/engine_request.h
@@ -128,8 +128,9 @@
   void RetryMovedRequest();
   // The stream broke or the server failed: resumes or ends the request.
   void OnDecodeFailed(bool timed_out);
-  // An attempt at `server` ended. If its response broke off, finds out whether
-  // the server ended with it. Such ends are the evidence of the quarantine.
+  // An attempt at `server` ended. If its response broke off, or may have, finds
+  // out whether the server ended with it. Such ends are the evidence of the
+  // quarantine.
   void CheckBrokenServer(const BackendServer& server,
                          const AttemptOutcome& outcome);
   // A server served the request whole, in `time`.
--- a/src/gateway/traffic/server_attempt.h
+++ b/src/gateway/traffic/server_attempt.h
@@ -22,6 +22,12 @@
     return result == ExchangeResult::kNotSent ||
            (head && response.not_executed);
   }
+  // Whether the end of the body is marked. Else it ends with the connection.
+  // Requires the head.
+  bool Framed() const {
+    return head->count(http::field::content_length) > 0 ||
+           head->count(http::field::transfer_encoding) > 0;
+  }
   // Whether the server, or the network, broke the response off.
   bool BrokenOff() const {
     return result == ExchangeResult::kIncomplete && !timed_out && !aborted &&
--- a/tests/support/raw_servers_fixture.h
+++ b/tests/support/raw_servers_fixture.h
@@ -66,8 +66,8 @@
     thread_ = std::thread([this] { io_.run(); });
   }
 
-  // Sends one request with the id "id-1".
-  ReceivedResponse Receive() {
+  // Sends one request with the id "id-1" and further `headers`.
+  ReceivedResponse Receive(const std::string& headers = "") {
     boost::asio::io_context io;
     Tcp::socket socket(io);
     socket.connect(
@@ -75,7 +75,8 @@
     std::string request =
         "POST /x HTTP/1.1\r\nHost: h\r\n"
         "X-Mangoyoke-Request-Id: id-1\r\n"
-        "X-Mangoyoke-Token-Counts: 900,100\r\nConnection: close\r\n\r\n";
+        "X-Mangoyoke-Token-Counts: 900,100\r\n" +
+        headers + "Connection: close\r\n\r\n";
     boost::asio::write(socket, boost::asio::buffer(request));
     ReceivedResponse response;
     boost::system::error_code error;
