--- a/src/gateway/net/timed_exchange.h
+++ b/src/gateway/net/timed_exchange.h
@@ -17,7 +17,7 @@
 struct ExchangeOutcome {
   ExchangeResult result = ExchangeResult::kNotSent;
   bool timed_out = false;
-  bool aborted = false;  // By this side, through Abort.
+  bool aborted = false;                         // By this side, through Abort.
   std::optional<http::response_header<>> head;  // If it was received.
   std::string body;    // Empty if the body was passed to on_data.
   Duration elapsed{};  // Since Start.
