--- a/src/gateway/core/prompt_quarantine.cc
+++ b/src/gateway/core/prompt_quarantine.cc
@@ -17,8 +17,6 @@
 constexpr size_t kDifferentPrompts = 2;
 // Ends needed for any other part, and for ends of one prompt alone.
 constexpr size_t kEndsOfAnyPart = 5;
-// After a verdict has run out, one end is enough to renew it.
-constexpr size_t kEndsAfterVerdict = 1;
 // A part is blamed if its ends are less likely than this otherwise. Very small,
 // as there are many parts and each gets many chances.
 constexpr double kMaxChanceOfNewPart = 1e-6;
@@ -133,7 +131,8 @@
   }
   record.verdict = verdict;
   changed_.insert(record.part);
-  news_.push_back(QuarantineChange{.part = record.part, .verdict = verdict});
+  unreported_.push_back(
+      QuarantineChange{.part = record.part, .verdict = verdict});
 }
 
 std::optional<QuarantinedPart> PromptQuarantine::Find(const PromptParts& prompt,
@@ -248,7 +247,7 @@
   if (record.verdict && record.verdict->first_end < at) {
     record.verdict.reset();
     changed_.insert(record.part);
-    news_.push_back(QuarantineChange{record.part});
+    unreported_.push_back(QuarantineChange{record.part});
   }
 }
 
@@ -288,7 +287,7 @@
       PassVerdict(candidate, now);
     }
   }
-  return std::exchange(news_, {});
+  return std::exchange(unreported_, {});
 }
 
 std::vector<PromptQuarantine::Candidate> PromptQuarantine::Candidates(
@@ -325,8 +324,8 @@
 bool PromptQuarantine::IsToBlame(const Candidate& candidate) const {
   TimePoint first = candidate.ends.front().at;
   if (const auto& verdict = candidate.record->verdict) {
-    return candidate.ends.back().at > verdict->until &&
-           candidate.moments >= kEndsAfterVerdict;
+    // It has run out, and one more end renews it.
+    return candidate.ends.back().at > verdict->until;
   }
   // Successes from before the first end are with the part if it was ever
   // served.
@@ -355,11 +354,12 @@
   verdict.until = now + std::min(length, kMaxVerdict);
   record.verdict = verdict;
   changed_.insert(record.part);
-  news_.push_back(QuarantineChange{.part = record.part,
-                                   .verdict = verdict,
-                                   .ends = candidate.ends.size(),
-                                   .prompts = CountPrompts(candidate.ends),
-                                   .decided_here = true});
+  unreported_.push_back(
+      QuarantineChange{.part = record.part,
+                       .verdict = verdict,
+                       .ends = candidate.ends.size(),
+                       .prompts = CountPrompts(candidate.ends),
+                       .decided_here = true});
 }
 
 double PromptQuarantine::ChanceOf(const std::vector<ServerEnd>& ends) const {
--- a/src/gateway/core/prompt_quarantine.h
+++ b/src/gateway/core/prompt_quarantine.h
@@ -167,7 +167,7 @@
   // Parts with an end after their last success, or with a verdict.
   std::map<PromptPartId, PartRecord> records_;
   std::set<PromptPartId> changed_;
-  std::vector<QuarantineChange> news_;  // Not yet returned by Decide.
+  std::vector<QuarantineChange> unreported_;  // Not yet returned by Decide.
   // When requests with a part last succeeded, at this instance or as reported.
   std::map<PromptPartId, TimePoint> successes_;
   std::deque<PromptPartId> success_order_;  // Of successes_, oldest first.
--- a/src/gateway/traffic/quarantine_decisions.cc
+++ b/src/gateway/traffic/quarantine_decisions.cc
@@ -37,6 +37,9 @@
                               change.verdict ? "quarantined" : "released");
     added = added || change.verdict.has_value();
   }
+  context.metrics.SetGauge(
+      "mangoyoke_prompt_parts_quarantined",
+      static_cast<double>(context.quarantine.VerdictCount(now)));
   if (added && context.on_quarantine) {
     context.on_quarantine();
   }
--- a/src/gateway/traffic/quarantine_reporter.cc
+++ b/src/gateway/traffic/quarantine_reporter.cc
@@ -119,12 +119,7 @@
 
 void QuarantineReporter::SendToCell(const std::vector<PartRecord>& records,
                                     TimePoint now) {
-  for (size_t from = 0; from < records.size(); from += kMaxRecordsPerReport) {
-    size_t to = std::min(records.size(), from + kMaxRecordsPerReport);
-    std::vector<uint8_t> report =
-        Encode({records.begin() + static_cast<ptrdiff_t>(from),
-                records.begin() + static_cast<ptrdiff_t>(to)},
-               now);
+  for (const auto& report : Encode(records, now)) {
     for (const auto& peer : endpoints_.cell_peers) {
       send_(report, peer);
     }
@@ -133,12 +128,7 @@
 
 void QuarantineReporter::SendOutside(const std::vector<PartRecord>& records,
                                      TimePoint now) {
-  for (size_t from = 0; from < records.size(); from += kMaxRecordsPerReport) {
-    size_t to = std::min(records.size(), from + kMaxRecordsPerReport);
-    std::vector<uint8_t> report =
-        Encode({records.begin() + static_cast<ptrdiff_t>(from),
-                records.begin() + static_cast<ptrdiff_t>(to)},
-               now);
+  for (const auto& report : Encode(records, now)) {
     SendToOneOf(endpoints_.zone_peers, report);
     SendToOneOf(endpoints_.remote_peers, report);
   }
@@ -154,15 +144,20 @@
   send_(report, peers[std::min(index, peers.size() - 1)]);
 }
 
-std::vector<uint8_t> QuarantineReporter::Encode(
+std::vector<std::vector<uint8_t>> QuarantineReporter::Encode(
     const std::vector<PartRecord>& records,
     TimePoint now) const {
-  Json encoded = Json::array();
-  for (const PartRecord& record : records) {
-    encoded.push_back(EncodeRecord(record, now));
+  std::vector<std::vector<uint8_t>> reports;
+  for (size_t from = 0; from < records.size(); from += kMaxRecordsPerReport) {
+    size_t to = std::min(records.size(), from + kMaxRecordsPerReport);
+    Json encoded = Json::array();
+    for (size_t i = from; i < to; ++i) {
+      encoded.push_back(EncodeRecord(records[i], now));
+    }
+    reports.push_back(Json::to_msgpack(
+        Json::array({kQuarantineReport, endpoints_.cell, encoded})));
   }
-  return Json::to_msgpack(
-      Json::array({kQuarantineReport, endpoints_.cell, encoded}));
+  return reports;
 }
 
 void QuarantineReporter::Apply(const Json& report, TimePoint now) {
--- a/src/gateway/traffic/quarantine_reporter.h
+++ b/src/gateway/traffic/quarantine_reporter.h
@@ -59,8 +59,10 @@
   void SendOutside(const std::vector<PartRecord>& records, TimePoint now);
   void SendToOneOf(const ReportEndpoints::Endpoints& peers,
                    const std::vector<uint8_t>& report);
-  std::vector<uint8_t> Encode(const std::vector<PartRecord>& records,
-                              TimePoint now) const;
+  // One report, or several if the records do not fit in one.
+  std::vector<std::vector<uint8_t>> Encode(
+      const std::vector<PartRecord>& records,
+      TimePoint now) const;
 
   TrafficContext& context_;
   SendFunction send_;
