--- a/tests/unit/gateway_http_test.cc
+++ b/tests/unit/gateway_http_test.cc
@@ -283,6 +283,26 @@
   EXPECT_EQ(Send(server.address(), {"a"})[0].body, "hello.");
 }
 
+TEST(HttpConnectionTest, HeadCutAnywhereIsIncomplete) {
+  for (const std::string first :
+       {"HTTP/1.1 200 OK\r\nId: a\r\n", "HTTP/1.1 204 No Content\r\nId: a\r\n",
+        "HTTP/1.1 304 Not Modified\r\nId: a\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\n",
+        "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n"}) {
+    std::string head = first + "\r\n";
+    for (size_t cut = 0; cut < head.size(); ++cut) {
+      ScriptedServer server({head.substr(0, cut) + "!"});
+      auto outcomes = Send(server.address(), {"a"});
+      EXPECT_EQ(outcomes[0].result, ExchangeResult::kIncomplete)
+          << cut << " bytes of " << head;
+    }
+    ScriptedServer server({head + "!"});
+    EXPECT_EQ(Send(server.address(), {"a"})[0].result,
+              ExchangeResult::kComplete)
+        << head;
+  }
+}
+
 TEST(HttpConnectionTest, CutAnswerIsBroken) {
   ScriptedServer server(
       {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\n"
