--- a/src/gateway/core/prompt_quarantine.cc
+++ b/src/gateway/core/prompt_quarantine.cc
@@ -327,8 +327,7 @@
     // It has run out, and one more end renews it.
     return candidate.ends.back().at > verdict->until;
   }
-  // Successes from before the first end are with the part if it was ever
-  // served.
+  // Earlier successes may be with the part itself, if it was ever served.
   bool served_before = candidate.record->last_success.has_value();
   if (!OthersServedSince(served_before ? first : first - kOthersServedBefore)) {
     return false;
--- a/src/gateway/core/prompt_quarantine.h
+++ b/src/gateway/core/prompt_quarantine.h
@@ -14,10 +14,9 @@
 // - A success with a part voids all ends before it.
 // - The ends must come from prompts that differ in their own part, so that what
 //   one request has besides the part does not look like the cause.
-// - The ends must be unlikely for a part that is not to blame: an end counts
-// the
-//   more, the sooner it came after the request did, and the fewer requests are
-//   cut off at other ends.
+// - The ends must be unlikely for a part that is not to blame. An end counts
+//   the more, the sooner it came after the request did, and the fewer requests
+//   are cut off at other ends.
 // - Where no request at all succeeds there is nothing to compare with, and no
 //   part is blamed.
 //
@@ -88,6 +87,8 @@
   TimePoint until;
 };
 
+// The evidence of one instance and of those that report to it, and the
+// verdicts. Not thread-safe.
 class PromptQuarantine {
  public:
   // Ends and verdicts are kept for this long at least.
