Review: case 1, the same check reached by a caller

Cause: HttpSession passes callers' bytes to the parser in the same way as HttpConnection passes servers' bytes.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,8 +4,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for trial in review/[0-9]*/trial.cc; do
+for trial in review/[0-9]*/*trial.cc; do
   number=$(basename "$(dirname "$trial")")
   "${CXX:-g++}" -std=c++20 -O2 -Wall -Wextra -I. "$trial" review/standins/*.cc \
-    -o "target/review/trial-$number" -pthread
+    -o "target/review/$number-$(basename "$trial" .cc)" -pthread
 done
--- a/review/standins/bookings.cc
+++ b/review/standins/bookings.cc
@@ -50,13 +50,15 @@
                                   std::string(kAnswerBytes, 'b')));
 }
 
-void Bookings::Start(int clients) {
-  using Json = nlohmann::json;
-  Json service{{"Name", kBookings}, {"MaxConnections", 110}};
-  trial_.Start(
-      Json::array({MakeRoute("booking", "/book/", kBookings, "non_idempotent",
-                             kTimeoutMs, kTargetLatencyMs)}),
-      Json::array({service}));
+void Bookings::Start(int clients,
+                     const nlohmann::json& more_routes,
+                     const nlohmann::json& more_services) {
+  nlohmann::json routes = more_routes;
+  routes.push_back(MakeRoute("booking", "/book/", kBookings, "non_idempotent",
+                             kTimeoutMs, kTargetLatencyMs));
+  nlohmann::json services = more_services;
+  services.push_back({{"Name", kBookings}, {"MaxConnections", 110}});
+  trial_.Start(routes, services);
   for (size_t gateway = 0; gateway < trial_.gateways(); ++gateway) {
     for (int client = 0; client < clients; ++client) {
       clients_.emplace_back(
--- a/review/standins/bookings.h
+++ b/review/standins/bookings.h
@@ -34,9 +34,11 @@
 
   // Registers `count` sound servers, and one with `fault`, if it is given.
   void AddServers(int count, Fault fault = nullptr);
-  // Starts the gateways with the one route for bookings, and `clients` clients
-  // for each gateway.
-  void Start(int clients);
+  // Starts the gateways with the route for bookings and `more_routes`, and
+  // `clients` clients for each gateway.
+  void Start(int clients,
+             const nlohmann::json& more_routes = nlohmann::json::array(),
+             const nlohmann::json& more_services = nlohmann::json::array());
   // Ends the clients, each after its current request, and then the trial: with
   // kBroken if a machine has lost more than kMostLost requests.
   [[noreturn]] void EndAndJudge();
