--- a/review/build.sh
+++ b/review/build.sh
@@ -4,8 +4,21 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
+compile=("${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -I. -pthread)
+objects=()
+for source in review/standins/*.cc; do
+  object=target/review/$(basename "$source" .cc).o
+  "${compile[@]}" -c "$source" -o "$object" &
+  objects+=("$object")
+done
+wait
 for trial in review/[0-9]*/*trial.cc; do
   number=$(basename "$(dirname "$trial")")
-  "${CXX:-g++}" -std=c++20 -O2 -Wall -Wextra -I. "$trial" review/standins/*.cc \
-    -o "target/review/$number-$(basename "$trial" .cc)" -pthread
+  "${compile[@]}" "$trial" "${objects[@]}" \
+    -o "target/review/$number-$(basename "$trial" .cc)" &
+done
+wait
+# "wait" alone doesn't tell of failures.
+for trial in review/[0-9]*/*trial.cc; do
+  test -x "target/review/$(basename "$(dirname "$trial")")-$(basename "$trial" .cc)"
 done
