--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
+rm -f target/review/*
 compile=("${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -I. -pthread)
 objects=()
 for source in review/standins/*.cc; do
