A response whose body came after its head counted as broken off

What callers saw: 502 for a request that a server had run and answered in whole, if the head of the answer had a Content-Length and no byte of the body came in the same read.

Cause: body_limit(boost::none) of Beast 1.74. Its parser compares the length with an optional that holds nothing, which counts as less, and fails with body_limit at the end of the head. With eager(true) the error is lost when bytes of the body follow in the same call, so that the fault shows only for answers that are split there.

HttpConnectionTest.HeadAndBodyMayArriveApart: failed before ("hello" is missing, kIncomplete), passes now. With a number as limit the comparison is one of numbers; the bodies of responses are bounded where they are collected.

--- a/src/gateway/net/http_connection.cc
+++ b/src/gateway/net/http_connection.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
+#include <limits>
 
 #include "base/log.h"
 #include "gateway/net/chunked_body.h"
@@ -274,7 +275,8 @@
 void HttpConnection::ResetParser() {
   parser_.emplace();
   parser_->eager(true);
-  parser_->body_limit(boost::none);
+  // Without any limit, Beast (1.74) fails after a head with a length.
+  parser_->body_limit(std::numeric_limits<uint64_t>::max());
   if (request_ && request_->method() == http::verb::head) {
     parser_->skip(true);
   }
--- a/tests/unit/gateway_http_test.cc
+++ b/tests/unit/gateway_http_test.cc
@@ -303,6 +303,21 @@
   }
 }
 
+// The body of a response may arrive later than its head.
+TEST(HttpConnectionTest, HeadAndBodyMayArriveApart) {
+  for (const char* response :
+       {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\n|hello",
+        "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nhe|llo",
+        "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n|"
+        "5\r\nhello\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: a\r\n\r\n|hello"}) {
+    ScriptedServer server({std::string(response) + "!"});
+    auto outcomes = Send(server.address(), {"a"});
+    EXPECT_EQ(outcomes[0].result, ExchangeResult::kComplete) << response;
+    EXPECT_EQ(outcomes[0].body, "hello") << response;
+  }
+}
+
 TEST(HttpConnectionTest, CutAnswerIsBroken) {
   ScriptedServer server(
       {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\n"
