A last chunk that came in pieces ended the process

Cause: Beast's parser asserts that it is not asked twice about a last chunk of less than five bytes. IsIncompleteLastChunk listed three such beginnings; there are others ("0 \r\n", "0;\r\n", "0\r\nX" read after "0\r\n"), and the loop asked again with what the call before had left, so that one read was enough. Both sides of the gateway had this loop.

Fix: MessageReader, one reader for both sides. The parser takes one part at a time, so that the place of each chunk's header in the bytes is known, and gets no part of a last chunk before the blank line at its end is there. Whatever it gets then, it is asked about it once with all of it.

--- a/src/gateway/net/http_connection.cc
+++ b/src/gateway/net/http_connection.cc
@@ -8,10 +8,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
-#include <limits>
 
 #include "base/log.h"
-#include "gateway/net/chunked_body.h"
 
 namespace mangoyoke {
 namespace {
@@ -82,7 +80,7 @@
   if (!request_id_.empty()) {
     carried_ids_.push_back(HashOf(request_id_));
   }
-  ResetParser();
+  ResetReader();
   if (connected_) {
     Write();
   } else {
@@ -168,16 +166,13 @@
 }
 
 void HttpConnection::Parse() {
-  while (observer_ != nullptr && buffer_.size() > 0 &&
-         !HasToWaitForChunkEnd(*parser_, buffer_)) {
-    boost::system::error_code error;
-    size_t used = parser_->put(buffer_.data(), error);
-    buffer_.consume(used);
-    if (error && error != http::error::need_more) {
+  while (observer_ != nullptr && buffer_.size() > 0) {
+    auto read = reader_->Read(buffer_);
+    if (!Ok(read)) {
       Finish(ExchangeResult::kIncomplete);
       return;
     }
-    if (parser_->is_header_done() && !head_done_) {
+    if (reader_->head_done() && !head_done_) {
       OnHeadParsed();
     }
     if (observer_ == nullptr || closed_) {
@@ -191,20 +186,20 @@
       Finish(ExchangeResult::kIncomplete);
       return;
     }
-    if (parser_->is_done()) {
+    if (reader_->done()) {
       if (skip_response_) {
-        ResetParser();
+        ResetReader();
         continue;
       }
       if (buffer_.size() > 0) {
         LogUnsolicited("bytes came after the response");
         keep_alive_ = false;
       }
-      keep_alive_ = keep_alive_ && parser_->keep_alive();
+      keep_alive_ = keep_alive_ && reader_->keep_alive();
       Finish(ExchangeResult::kComplete);
       return;
     }
-    if (used == 0) {
+    if (std::get<size_t>(read) == 0) {
       return;
     }
   }
@@ -212,7 +207,7 @@
 
 void HttpConnection::OnHeadParsed() {
   head_done_ = true;
-  const auto& head = parser_->get().base();
+  const auto& head = reader_->head();
   if (head.result_int() / 100 == 1) {
     SkipResponse();  // Interim response; the final one follows.
     return;
@@ -235,7 +230,7 @@
 }
 
 void HttpConnection::DeliverBody() {
-  std::string data = std::exchange(parser_->get().body(), std::string());
+  std::string data = reader_->TakeBody();
   if (skip_response_) {
     skipped_bytes_ += data.size();
   } else if (head_done_ && !data.empty()) {
@@ -254,8 +249,7 @@
       .Field("server", ToString(endpoint_))
       .Field("request", request_id_)
       .Field("response", id)
-      .Field("status",
-             static_cast<int64_t>(parser_->get().base().result_int()));
+      .Field("status", static_cast<int64_t>(reader_->head().result_int()));
   SkipResponse();
 }
 
@@ -267,18 +261,14 @@
 }
 
 bool HttpConnection::SendsWithoutEnd() const {
-  return buffer_.size() > kMaxUnparsedBytes ||
-         skipped_responses_ > kMaxSkippedResponses ||
+  return skipped_responses_ > kMaxSkippedResponses ||
          skipped_bytes_ > kMaxSkippedBytes;
 }
 
-void HttpConnection::ResetParser() {
-  parser_.emplace();
-  parser_->eager(true);
-  // Without any limit, Beast (1.74) fails after a head with a length.
-  parser_->body_limit(std::numeric_limits<uint64_t>::max());
+void HttpConnection::ResetReader() {
+  reader_.emplace(MessageLimits{});
   if (request_ && request_->method() == http::verb::head) {
-    parser_->skip(true);
+    reader_->SkipBody();
   }
   head_done_ = false;
   skip_response_ = false;
@@ -291,13 +281,10 @@
   }
   bool orderly = error == boost::asio::error::eof;
   keep_alive_ = false;
-  if (orderly && head_done_ && !skip_response_) {
-    boost::system::error_code eof_error;
-    parser_->put_eof(eof_error);
-    if (!eof_error && parser_->is_done()) {
-      Finish(ExchangeResult::kComplete);
-      return;
-    }
+  if (orderly && head_done_ && !skip_response_ &&
+      reader_->EndsWithConnection()) {
+    Finish(ExchangeResult::kComplete);
+    return;
   }
   // Not kNotSent: bytes of the request may have been sent although the write
   // has not completed yet.
--- a/src/gateway/net/http_connection.h
+++ b/src/gateway/net/http_connection.h
@@ -18,7 +18,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -27,6 +26,7 @@
 #include <vector>
 
 #include "gateway/core/codecs.h"
+#include "gateway/net/message_reader.h"
 #include "gateway/net/sockets.h"
 
 namespace mangoyoke {
@@ -102,7 +102,7 @@
   }
 
  private:
-  using Parser = http::response_parser<http::string_body>;
+  using Reader = MessageReader</*is_request=*/false>;
 
   void Connect();
   void Write();
@@ -121,7 +121,8 @@
   void LogUnsolicited(std::string_view when) const;
   // Whether more bytes came that are no response than a sound server sends.
   bool SendsWithoutEnd() const;
-  void ResetParser();
+  // Begins to read another response.
+  void ResetReader();
   void OnReadError(const boost::system::error_code& error);
   void Finish(ExchangeResult result);
   void CloseSocket();
@@ -132,7 +133,7 @@
   RequestIdExtractor extract_request_id_;
   boost::asio::steady_timer connect_timer_;
   boost::beast::flat_buffer buffer_;
-  std::optional<Parser> parser_;
+  std::optional<Reader> reader_;
   std::optional<HttpRequest> request_;
   std::string request_id_;
   ExchangeObserver* observer_ = nullptr;  // Non-null during an exchange.
@@ -149,9 +150,9 @@
   bool maybe_sent_ = false;  // Bytes of the current request may have been sent.
   bool reading_ = false;     // A read is in progress.
   bool paused_ = false;
-  // The head of the response in parser_ is complete.
+  // The head of the response in reader_ was passed on or is to be skipped.
   bool head_done_ = false;
-  // The response in parser_ is interim or for another request.
+  // The response in reader_ is interim or for another request.
   bool skip_response_ = false;
   // Interim and other responses skipped in this exchange, and their bodies.
   int skipped_responses_ = 0;
--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -11,7 +11,6 @@
 #include <sstream>
 
 #include "base/log.h"
-#include "gateway/net/chunked_body.h"
 
 namespace mangoyoke {
 namespace {
@@ -95,8 +94,7 @@
 }
 
 void HttpSession::NextRequest() {
-  parser_.emplace();
-  parser_->eager(true);
+  reader_.reset();
   state_ = State::kIdle;
   head_parsed_ = false;
   request_bytes_ = 0;
@@ -162,29 +160,20 @@
   if (state_ == State::kIdle) {
     BeginRequest();
   }
-  while (buffer_.size() > 0 && !parser_->is_done() &&
-         !HasToWaitForChunkEnd(*parser_, buffer_)) {
-    boost::system::error_code error;
-    size_t used = parser_->put(buffer_.data(), error);
-    buffer_.consume(used);
-    request_bytes_ += used;
-    if (error && error != http::error::need_more) {
-      RejectRequest(error);
+  size_t used = 1;
+  while (buffer_.size() > 0 && !reader_->done() && used > 0) {
+    auto read = reader_->Read(buffer_);
+    if (const auto* error = std::get_if<Error>(&read)) {
+      RejectMalformedRequest(*error);
       return;
     }
-    if (parser_->is_header_done() && !head_parsed_) {
+    used = std::get<size_t>(read);
+    request_bytes_ += used;
+    if (reader_->head_done() && !head_parsed_) {
       OnHeadParsed();
     }
-    if (used == 0) {
-      break;
-    }
   }
-  if (head_parsed_ && !parser_->is_done() &&
-      buffer_.size() > kMaxUnparsedBytes) {
-    RejectRequest(http::make_error_code(http::error::buffer_overflow));
-    return;
-  }
-  if (parser_->is_done()) {
+  if (reader_->done()) {
     Dispatch();
     return;
   }
@@ -197,30 +186,22 @@
 void HttpSession::BeginRequest() {
   CallerLimits limits = handler_.Limits();
   state_ = State::kReading;
-  parser_->header_limit(limits.header_bytes);
-  parser_->body_limit(limits.body_bytes);
+  reader_.emplace(MessageLimits{limits.header_bytes, limits.body_bytes});
   ArmTimer(limits.header_timeout);
 }
 
 void HttpSession::OnHeadParsed() {
   head_parsed_ = true;
-  const auto& head = parser_->get();
+  const auto& head = reader_->head();
   auto expect = head.find(http::field::expect);
-  if (expect != head.end() && !parser_->is_done()) {
+  if (expect != head.end() && !reader_->done()) {
     Enqueue("HTTP/1.1 100 Continue\r\n\r\n");
   }
 }
 
-void HttpSession::RejectRequest(const boost::system::error_code& error) {
-  ErrorCode code = ErrorCode::kMalformedRequest;
-  if (error == http::error::body_limit) {
-    code = ErrorCode::kRequestTooLarge;
-  } else if (error == http::error::header_limit) {
-    code = ErrorCode::kHeaderTooLarge;
-  }
-  LogEvent("request_malformed", LogLevel::kWarning)
-      .Field("why", error.message());
-  RejectRequest(Error{code, error.message()});
+void HttpSession::RejectMalformedRequest(const Error& error) {
+  LogEvent("request_malformed", LogLevel::kWarning).Field("why", error.detail);
+  RejectRequest(error);
 }
 
 void HttpSession::RejectRequest(const Error& error) {
@@ -242,7 +223,7 @@
   state_ = State::kResponding;
   ++requests_;
   timer_.cancel();
-  HttpRequest request = parser_->release();
+  HttpRequest request = reader_->Release();
   keep_alive_ = request.keep_alive();
   is_head_request_ = request.method() == http::verb::head;
   chunked_ = request.version() > kHttp10;
--- a/src/gateway/net/http_session.h
+++ b/src/gateway/net/http_session.h
@@ -6,7 +6,6 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -14,6 +13,7 @@
 #include <string_view>
 
 #include "gateway/net/http_listener.h"
+#include "gateway/net/message_reader.h"
 
 namespace mangoyoke {
 
@@ -67,7 +67,7 @@
   void SetBackpressureCallback(std::function<void(bool)> callback) override;
 
  private:
-  using Parser = http::request_parser<http::string_body>;
+  using Reader = MessageReader</*is_request=*/true>;
   // kLingering: the last response is written; incoming bytes are discarded
   // until the caller closes the connection or a timeout expires.
   enum class State { kIdle, kReading, kResponding, kLingering };
@@ -85,8 +85,9 @@
   void BeginRequest();
   void OnHeadParsed();
   void Dispatch();
-  void RejectRequest(const boost::system::error_code& error);
   void RejectRequest(const Error& error);
+  // The same, and logs it: the bytes cannot be read or exceed a limit.
+  void RejectMalformedRequest(const Error& error);
   // The request did not arrive whole in time.
   void RejectIncompleteRequest();
   void OnCallerDisconnected();
@@ -115,13 +116,14 @@
   std::shared_ptr<ListenerState> listener_state_;
   boost::asio::steady_timer timer_;
   boost::beast::flat_buffer buffer_;
-  std::optional<Parser> parser_;
+  // Empty until the first byte of a request has arrived.
+  std::optional<Reader> reader_;
   State state_ = State::kIdle;
   Duration longest_idle_timeout_{};
   TimePoint idle_since_{};  // Of the current or last rest.
   bool head_parsed_ = false;
   uint64_t requests_ = 0;         // Requests read whole on this connection.
-  size_t request_bytes_ = 0;      // Bytes read of the request in parser_.
+  size_t request_bytes_ = 0;      // Bytes read of the request in reader_.
   bool keep_alive_ = true;        // Stay open after the response.
   bool is_head_request_ = false;  // HEAD request: the response has no body.
   bool chunked_ = false;          // Streamed responses use chunked encoding.
--- /dev/null
+++ b/src/gateway/net/message_reader.cc
@@ -0,0 +1,103 @@
+// Decides which bytes the parser gets, and translates its errors.
+
+#include "gateway/net/message_reader.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace mangoyoke {
+namespace {
+
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr std::string_view kBlankLine = "\r\n\r\n";
+
+std::string_view TextOf(const boost::beast::flat_buffer& buffer) {
+  auto data = buffer.data();
+  return {static_cast<const char*>(data.data()), data.size()};
+}
+
+Error ToError(const boost::system::error_code& error) {
+  ErrorCode code = ErrorCode::kMalformedRequest;
+  if (error == http::error::body_limit) {
+    code = ErrorCode::kRequestTooLarge;
+  } else if (error == http::error::header_limit) {
+    code = ErrorCode::kHeaderTooLarge;
+  }
+  return Error{code, error.message()};
+}
+
+}  // namespace
+
+bool IsPartOfLastChunk(std::string_view bytes, bool after_chunk) {
+  if (after_chunk) {
+    bytes.remove_prefix(std::min(bytes.size(), kLineEnd.size()));
+  }
+  size_t size_end = bytes.find_first_not_of('0');
+  if (size_end == 0 || size_end == std::string_view::npos) {
+    return false;  // Another size, or none yet.
+  }
+  bool zero = std::isxdigit(static_cast<unsigned char>(bytes[size_end])) == 0;
+  return zero && bytes.find(kBlankLine, size_end) == std::string_view::npos;
+}
+
+template <bool is_request>
+MessageReader<is_request>::MessageReader(const MessageLimits& limits) {
+  // One part at a time, so that the place of each chunk in the bytes is known.
+  parser_.eager(false);
+  parser_.header_limit(limits.head);
+  parser_.body_limit(limits.body);
+  on_chunk_header_ = [this](uint64_t size, boost::beast::string_view,
+                            boost::system::error_code& error) {
+    chunk_left_ = size;
+    chunk_started_ = true;
+    error = {};
+  };
+  parser_.on_chunk_header(on_chunk_header_);
+}
+
+template <bool is_request>
+bool MessageReader<is_request>::HasToWait(
+    const boost::beast::flat_buffer& buffer) const {
+  bool at_chunk_header = head_done() && parser_.chunked() && chunk_left_ == 0;
+  return at_chunk_header && IsPartOfLastChunk(TextOf(buffer), chunk_started_);
+}
+
+template <bool is_request>
+Result<size_t> MessageReader<is_request>::Read(
+    boost::beast::flat_buffer& buffer) {
+  uint64_t chunk_before = chunk_left_;
+  size_t used = 0;
+  if (buffer.size() > 0 && !HasToWait(buffer)) {
+    boost::system::error_code error;
+    used = parser_.put(buffer.data(), error);
+    if (error && error != http::error::need_more) {
+      return ToError(error);
+    }
+    buffer.consume(used);
+  }
+  if (chunk_before > 0) {
+    chunk_left_ -= used;
+  }
+  if (used == 0 && buffer.size() > kMaxUnreadBytes) {
+    return ToError(http::make_error_code(http::error::buffer_overflow));
+  }
+  return used;
+}
+
+template <bool is_request>
+bool MessageReader<is_request>::EndsWithConnection() {
+  boost::system::error_code error;
+  parser_.put_eof(error);
+  return !error && parser_.is_done();
+}
+
+template <bool is_request>
+std::string MessageReader<is_request>::TakeBody() {
+  return std::exchange(parser_.get().body(), std::string());
+}
+
+template class MessageReader<true>;
+template class MessageReader<false>;
+
+}  // namespace mangoyoke
--- /dev/null
+++ b/src/gateway/net/message_reader.h
@@ -0,0 +1,96 @@
+// Reads one HTTP/1.1 message from bytes that arrive in pieces of any size. Used
+// for requests of callers and for responses of backend servers and the store.
+//
+// Beast's parser does the parsing. Some of its assertions fail on bytes that a
+// peer may send, so this class decides which bytes the parser gets, and when.
+
+#ifndef MANGOYOKE_GATEWAY_NET_MESSAGE_READER_H_
+#define MANGOYOKE_GATEWAY_NET_MESSAGE_READER_H_
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <string>
+#include <string_view>
+
+#include "mangoyoke/error.h"
+
+namespace mangoyoke {
+
+namespace http = boost::beast::http;
+
+// Limits of one message, in bytes.
+struct MessageLimits {
+  uint32_t head = 8 << 10;
+  uint64_t body = std::numeric_limits<uint64_t>::max();
+};
+
+// Bytes that are kept while they do not yet form a unit that can be read, such
+// as the header of a chunk with its extensions.
+inline constexpr size_t kMaxUnreadBytes = 64 << 10;
+
+// Whether `bytes` begin with a part of a last chunk (size 0, extensions, line
+// end, trailer, blank line) that is not whole. They start where the header of a
+// chunk does, or with the line end that belongs to the chunk before
+// (`after_chunk`).
+bool IsPartOfLastChunk(std::string_view bytes, bool after_chunk);
+
+// Reads one message. `is_request`: else a response. Not thread-safe.
+template <bool is_request>
+class MessageReader {
+ public:
+  using Message = http::message<is_request, http::string_body>;
+  using Header = typename Message::header_type;
+
+  explicit MessageReader(const MessageLimits& limits);
+  // The parser refers to members of this object.
+  MessageReader(const MessageReader&) = delete;
+  MessageReader& operator=(const MessageReader&) = delete;
+
+  // The message has no body, whatever its head says: it responds to HEAD. Call
+  // before the first Read.
+  void SkipBody() { parser_.skip(true); }
+
+  // Reads the next part of the message from `buffer` and removes it there: the
+  // head, the header of a chunk, or bytes of the body. Returns the size of the
+  // part; 0 if more bytes have to arrive first. Fails with kMalformedRequest,
+  // kHeaderTooLarge or kRequestTooLarge, after which it must not be called
+  // again. Requires that the message is not done.
+  Result<size_t> Read(boost::beast::flat_buffer& buffer);
+  // The connection ended in order. Returns whether that is the end of the
+  // message. Requires the head.
+  bool EndsWithConnection();
+
+  bool head_done() const { return parser_.is_header_done(); }
+  bool done() const { return parser_.is_done(); }
+  // Requires the head.
+  const Header& head() const { return parser_.get().base(); }
+  // Whether the connection stays open after the message. Requires the head.
+  bool keep_alive() const { return parser_.keep_alive(); }
+  // Removes and returns the bytes of the body read since the last call.
+  std::string TakeBody();
+  // Removes and returns the message, which is done.
+  Message Release() { return parser_.release(); }
+
+ private:
+  // Whether the parser may not get the bytes in `buffer` before more of them
+  // have arrived.
+  bool HasToWait(const boost::beast::flat_buffer& buffer) const;
+
+  http::parser<is_request, http::string_body> parser_;
+  std::function<
+      void(uint64_t, boost::beast::string_view, boost::system::error_code&)>
+      on_chunk_header_;
+  uint64_t chunk_left_ = 0;     // Bytes of the current chunk not read yet.
+  bool chunk_started_ = false;  // A chunk with data was begun.
+};
+
+extern template class MessageReader<true>;
+extern template class MessageReader<false>;
+
+}  // namespace mangoyoke
+
+#endif  // MANGOYOKE_GATEWAY_NET_MESSAGE_READER_H_
--- a/tests/unit/gateway_http_test.cc
+++ b/tests/unit/gateway_http_test.cc
@@ -48,8 +48,14 @@
     "1\r\nx\r\n|0\r\n|\r|\n",
     "1\r\nx|\r\n0|\r\n|\r|\n",
     "3\r\n0\r\n|\r\n0\r\n|\r\n",
+    "0\r\nX|-Checksum: 0\r\n\r\n",
+    "0;a\r\n|\r\n",
 };
 
+// A last chunk that is malformed, in one piece and in two.
+constexpr const char* kBadLastChunks[] = {"0 \r\n|\r\n", "0 \r\n", "0;\r\n|",
+                                          "1\r\nx\r\n0 \r\n"};
+
 size_t CountOccurrences(const std::string& text, const std::string& part) {
   size_t count = 0;
   for (size_t at = text.find(part); at != std::string::npos;
@@ -101,6 +107,26 @@
   }
 }
 
+// Case 1 of the review: a process ended when it read these bytes.
+TEST_F(ListenerTest, BadLastChunkEndsNoProcess) {
+  handler_.limits.idle_timeout = Millis(200);
+  for (const char* body : kBadLastChunks) {
+    boost::asio::io_context io;
+    Tcp::socket socket(io);
+    socket.connect(
+        Tcp::endpoint(boost::asio::ip::address_v4::loopback(), kPort));
+    boost::system::error_code error;
+    WriteInParts(socket,
+                 "POST /p HTTP/1.1\r\nHost: h\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n" +
+                     std::string(body),
+                 error);
+    std::string received;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 4")) << body << received;
+  }
+}
+
 TEST_F(ListenerTest, ChunkExtensionWithoutEndIsRejected) {
   std::string request =
       "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;x=" +
@@ -269,6 +295,17 @@
   }
 }
 
+// Case 1 of the review: a process ended when it read these bytes.
+TEST(HttpConnectionTest, BadLastChunkEndsNoProcess) {
+  for (const char* body : kBadLastChunks) {
+    ScriptedServer server(
+        {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
+         std::string(body) + "!"});
+    auto outcomes = Send(server.address(), {"a"});
+    EXPECT_EQ(outcomes[0].result, ExchangeResult::kIncomplete) << body;
+  }
+}
+
 // A response that breaks off anywhere must not look complete.
 TEST(HttpConnectionTest, ChunkedResponseCutAnywhereIsIncomplete) {
   const std::string head =
