A huge Content-Length in a response ended the process

Cause: http::string_body reserves memory for the whole length before the first byte of the body. std::bad_alloc left the handler of the connection, which was read no more, and counted as a failure of the event loop.

Fix: MessageReader reads into AppendedBody, which takes memory for bytes that have arrived. A response that is to be collected and announces more than can be collected is given up at its head, so that the request is answered at once.

--- a/src/gateway/net/http_connection.cc
+++ b/src/gateway/net/http_connection.cc
@@ -226,7 +226,7 @@
     server_idle_timeout_ = ParseKeepAliveTimeout(
         std::string_view(found->value().data(), found->value().size()));
   }
-  observer_->OnHead(head);
+  observer_->OnHead(head, reader_->body_length());
 }
 
 void HttpConnection::DeliverBody() {
--- a/src/gateway/net/http_connection.h
+++ b/src/gateway/net/http_connection.h
@@ -47,7 +47,9 @@
  public:
   virtual ~ExchangeObserver() = default;
   // The response head arrived. Not called for interim (1xx) responses.
-  virtual void OnHead(const http::response_header<>& head) = 0;
+  // `body_length`: see MessageReader.
+  virtual void OnHead(const http::response_header<>& head,
+                      std::optional<uint64_t> body_length) = 0;
   // The next part of the response body, with the chunked encoding removed.
   virtual void OnData(std::string data) = 0;
   // Last call of an exchange.
--- a/src/gateway/net/message_reader.cc
+++ b/src/gateway/net/message_reader.cc
@@ -92,11 +92,27 @@
   return !error && parser_.is_done();
 }
 
+template <bool is_request>
+std::optional<uint64_t> MessageReader<is_request>::body_length() const {
+  if (done()) {
+    return 0;
+  }
+  auto length = parser_.content_length();
+  return length ? std::optional<uint64_t>(*length) : std::nullopt;
+}
+
 template <bool is_request>
 std::string MessageReader<is_request>::TakeBody() {
   return std::exchange(parser_.get().body(), std::string());
 }
 
+template <bool is_request>
+typename MessageReader<is_request>::Message
+MessageReader<is_request>::Release() {
+  auto message = parser_.release();
+  return Message(std::move(message.base()), std::move(message.body()));
+}
+
 template class MessageReader<true>;
 template class MessageReader<false>;
 
--- a/src/gateway/net/message_reader.h
+++ b/src/gateway/net/message_reader.h
@@ -7,12 +7,16 @@
 #ifndef MANGOYOKE_GATEWAY_NET_MESSAGE_READER_H_
 #define MANGOYOKE_GATEWAY_NET_MESSAGE_READER_H_
 
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <boost/optional.hpp>
 #include <cstdint>
 #include <functional>
 #include <limits>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -28,6 +32,36 @@
   uint64_t body = std::numeric_limits<uint64_t>::max();
 };
 
+// A body for Beast's parser that takes memory for the bytes that have arrived,
+// while http::string_body takes it for the length that the head announces.
+struct AppendedBody {
+  using value_type = std::string;
+
+  class reader {
+   public:
+    template <bool is_request, typename Fields>
+    reader(http::header<is_request, Fields>& /*head*/, std::string& body)
+        : body_(body) {}
+
+    void init(const boost::optional<uint64_t>& /*length*/,
+              boost::system::error_code& error) {
+      error = {};
+    }
+    template <typename Buffers>
+    size_t put(const Buffers& buffers, boost::system::error_code& error) {
+      for (auto buffer : boost::beast::buffers_range_ref(buffers)) {
+        body_.append(static_cast<const char*>(buffer.data()), buffer.size());
+      }
+      error = {};
+      return boost::asio::buffer_size(buffers);
+    }
+    void finish(boost::system::error_code& error) { error = {}; }
+
+   private:
+    std::string& body_;
+  };
+};
+
 // Bytes that are kept while they do not yet form a unit that can be read, such
 // as the header of a chunk with its extensions.
 inline constexpr size_t kMaxUnreadBytes = 64 << 10;
@@ -68,19 +102,22 @@
   bool done() const { return parser_.is_done(); }
   // Requires the head.
   const Header& head() const { return parser_.get().base(); }
+  // The length of the body as the head announces it; nothing if it does not.
+  // Requires the head, and that no byte of the body was read.
+  std::optional<uint64_t> body_length() const;
   // Whether the connection stays open after the message. Requires the head.
   bool keep_alive() const { return parser_.keep_alive(); }
   // Removes and returns the bytes of the body read since the last call.
   std::string TakeBody();
   // Removes and returns the message, which is done.
-  Message Release() { return parser_.release(); }
+  Message Release();
 
  private:
   // Whether the parser may not get the bytes in `buffer` before more of them
   // have arrived.
   bool HasToWait(const boost::beast::flat_buffer& buffer) const;
 
-  http::parser<is_request, http::string_body> parser_;
+  http::parser<is_request, AppendedBody> parser_;
   std::function<
       void(uint64_t, boost::beast::string_view, boost::system::error_code&)>
       on_chunk_header_;
--- a/src/gateway/net/timed_exchange.cc
+++ b/src/gateway/net/timed_exchange.cc
@@ -99,11 +99,16 @@
   }
 }
 
-void TimedExchange::OnHead(const http::response_header<>& head) {
+void TimedExchange::OnHead(const http::response_header<>& head,
+                           std::optional<uint64_t> body_length) {
   outcome_.head = head;
   if (callbacks_.on_head) {
     stream_body_ = callbacks_.on_head(head);
   }
+  // Such a body would be received in vain.
+  if (!stream_body_ && body_length.value_or(0) > kMaxBufferedBodyBytes) {
+    Abort();
+  }
 }
 
 void TimedExchange::OnData(std::string data) {
--- a/src/gateway/net/timed_exchange.h
+++ b/src/gateway/net/timed_exchange.h
@@ -66,7 +66,8 @@
   // timeout does not run while paused.
   void SetPaused(bool paused);
 
-  void OnHead(const http::response_header<>& head) override;
+  void OnHead(const http::response_header<>& head,
+              std::optional<uint64_t> body_length) override;
   void OnData(std::string data) override;
   void OnEnd(ExchangeResult result) override;
 
--- a/tests/unit/gateway_http_test.cc
+++ b/tests/unit/gateway_http_test.cc
@@ -355,6 +355,15 @@
   }
 }
 
+// Such a response has no body, whatever length its head gives.
+TEST(HttpConnectionTest, LengthOfAnAbsentBodyIsNoLimit) {
+  ScriptedServer server(
+      {"HTTP/1.1 304 Not Modified\r\nId: a\r\n"
+       "Content-Length: 100000000\r\n\r\n!"});
+  auto outcomes = Send(server.address(), {"a"});
+  EXPECT_EQ(outcomes[0].result, ExchangeResult::kComplete);
+}
+
 TEST(HttpConnectionTest, CutAnswerIsBroken) {
   ScriptedServer server(
       {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\n"
@@ -466,6 +475,12 @@
 }
 
 const EndlessBytes kEndlessBytes[] = {
+    // Case 2 of the review.
+    {"BodyUnderAHugeLength",
+     "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1000000000000000\r\n\r\n",
+     "x"},
+    {"BodyUnderALength",
+     "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 33554432\r\n\r\n", "x"},
     {"Garbage", "", "#"},
     {"StatusLine", "HTTP/1.1 200 ", "O"},
     {"HeaderName", "HTTP/1.1 200 OK\r\n", "x"},
