An exception in a handler ended the process, or left a connection unread

After each of them, what the handler was for hung: the request had no attempt and waited for its timeout, a connection in the pool was read no more and answered the next request with silence, a queue was polled no more.

Cause: exceptions were caught by the event loop alone, which cannot tell what the handler was for, and counts them whoever caused them.

Fix: RunGuarded (base/run_guarded.h). What throws ends just that: a caller's connection (or its request, with 500), a server's connection (its exchange is incomplete), an active request (its error tells callers that it may have run), a datagram, a message of a peer. The watch of a table reads the table again, since changes may be lost. Exceptions of timers and of the loops' own work still count against the supervisor.

Related paths looked at: EngineAdmission's poll and the follower's polls, which were not scheduled again; releases that destructors send; callbacks of PeerClient, whose second call after an exception was not guarded.

--- a/src/gateway/control/serving_follower.cc
+++ b/src/gateway/control/serving_follower.cc
@@ -103,7 +103,7 @@
                 if (const auto* response = std::get_if<Json>(&result)) {
                   try {
                     current = callbacks_.apply(*response);
-                  } catch (const Json::exception& exception) {
+                  } catch (const std::exception& exception) {
                     LogEvent("serving_update_malformed", LogLevel::kWarning)
                         .Field("from", address)
                         .Field("why", exception.what());
--- a/src/gateway/control/table_watcher.cc
+++ b/src/gateway/control/table_watcher.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "base/log.h"
+#include "base/run_guarded.h"
 
 namespace mangoyoke {
 namespace {
@@ -88,16 +89,24 @@
       });
 }
 
+template <typename Handler>
+void TableWatcher::Run(std::string_view call, const Handler& handler) {
+  RunGuarded(options_.table, handler, [&] {
+    RetryAfterFailure(call, ExchangeOutcome{}, [this] { ReadPage(""); });
+  });
+}
+
 void TableWatcher::ReadPage(const std::string& from) {
   confirmed_ = false;
   if (from.empty()) {
     snapshot_rows_.clear();
   }
-  read_call_ = store_.Call(codec_.EncodeRead(options_.table, from),
-                           kReadTimeout, [this](ExchangeOutcome outcome) {
-                             read_call_ = 0;
-                             OnReadEnd(std::move(outcome));
-                           });
+  read_call_ =
+      store_.Call(codec_.EncodeRead(options_.table, from), kReadTimeout,
+                  [this](ExchangeOutcome outcome) {
+                    read_call_ = 0;
+                    Run("read", [&] { OnReadEnd(std::move(outcome)); });
+                  });
 }
 
 void TableWatcher::OnReadEnd(ExchangeOutcome outcome) {
@@ -153,12 +162,12 @@
 void TableWatcher::Watch() {
   watch_sent_at_ = SteadyClock::now();
   Millis wait = confirmed_ ? options_.watch_timeout : Millis(0);
-  watch_call_ = store_.Call(codec_.EncodeWatch(options_.table, version_, wait),
-                            wait + options_.response_margin,
-                            [this](ExchangeOutcome outcome) {
-                              watch_call_ = 0;
-                              OnWatchEnd(std::move(outcome));
-                            });
+  watch_call_ = store_.Call(
+      codec_.EncodeWatch(options_.table, version_, wait),
+      wait + options_.response_margin, [this](ExchangeOutcome outcome) {
+        watch_call_ = 0;
+        Run("watch", [&] { OnWatchEnd(std::move(outcome)); });
+      });
 }
 
 void TableWatcher::RestartWatchSentBefore(TimePoint time) {
--- a/src/gateway/control/table_watcher.h
+++ b/src/gateway/control/table_watcher.h
@@ -72,6 +72,10 @@
  private:
   // Reads the rows from key `from` on; an empty key starts a new full read.
   void ReadPage(const std::string& from);
+  // Runs a handler of a call's end. If it throws, the table is read again,
+  // since changes may be lost.
+  template <typename Handler>
+  void Run(std::string_view call, const Handler& handler);
   void OnReadEnd(ExchangeOutcome outcome);
   void Watch();
   void OnWatchEnd(ExchangeOutcome outcome);
--- a/src/gateway/net/http_connection.cc
+++ b/src/gateway/net/http_connection.cc
@@ -10,6 +10,7 @@
 #include <charconv>
 
 #include "base/log.h"
+#include "base/run_guarded.h"
 
 namespace mangoyoke {
 namespace {
@@ -88,50 +89,66 @@
   }
 }
 
+template <typename Handler>
+void HttpConnection::Run(const Handler& handler) {
+  RunGuarded("server_connection", handler, [this] {
+    keep_alive_ = false;
+    Finish(ExchangeResult::kIncomplete);
+    CloseSocket();
+  });
+}
+
 void HttpConnection::Connect() {
   connect_timer_.expires_after(kConnectTimeout);
   connect_timer_.async_wait(
       [self = shared_from_this()](const boost::system::error_code& error) {
         if (!error && !self->connected_) {
-          self->Finish(ExchangeResult::kNotSent);
+          self->Run([&] { self->Finish(ExchangeResult::kNotSent); });
         }
       });
   socket_.async_connect(endpoint_, [self = shared_from_this()](
                                        const boost::system::error_code& error) {
-    if (self->closed_) {
-      return;
+    if (!self->closed_) {
+      self->Run([&] { self->OnConnect(error); });
     }
-    self->connect_timer_.cancel();
-    if (error) {
-      self->Finish(ExchangeResult::kNotSent);
-      return;
-    }
-    self->connected_ = true;
-    PrepareSocket(self->socket_, kUnackedTimeout);
-    if (!self->SocketIsQuiet()) {
-      self->Finish(ExchangeResult::kNotSent);
-      return;
-    }
-    self->Read();
-    self->Write();
   });
 }
 
+void HttpConnection::OnConnect(const boost::system::error_code& error) {
+  connect_timer_.cancel();
+  if (error) {
+    Finish(ExchangeResult::kNotSent);
+    return;
+  }
+  connected_ = true;
+  PrepareSocket(socket_, kUnackedTimeout);
+  if (!SocketIsQuiet()) {
+    Finish(ExchangeResult::kNotSent);
+    return;
+  }
+  Read();
+  Write();
+}
+
 void HttpConnection::Write() {
   writing_ = true;
   http::async_write(socket_, *request_,
                     [self = shared_from_this()](
                         const boost::system::error_code& error, size_t size) {
-                      self->writing_ = false;
-                      self->maybe_sent_ = self->maybe_sent_ || size > 0;
-                      if (error && !self->closed_) {
-                        self->Finish(self->maybe_sent_
-                                         ? ExchangeResult::kIncomplete
-                                         : ExchangeResult::kNotSent);
-                      }
+                      self->Run([&] { self->OnWritten(error, size); });
                     });
 }
 
+void HttpConnection::OnWritten(const boost::system::error_code& error,
+                               size_t size) {
+  writing_ = false;
+  maybe_sent_ = maybe_sent_ || size > 0;
+  if (error && !closed_) {
+    Finish(maybe_sent_ ? ExchangeResult::kIncomplete
+                       : ExchangeResult::kNotSent);
+  }
+}
+
 void HttpConnection::Read() {
   if (reading_ || paused_ || closed_) {
     return;
@@ -143,7 +160,7 @@
                                   size_t size) {
         self->reading_ = false;
         if (!self->closed_) {
-          self->OnRead(error, size);
+          self->Run([&] { self->OnRead(error, size); });
         }
       });
 }
--- a/src/gateway/net/http_connection.h
+++ b/src/gateway/net/http_connection.h
@@ -106,8 +106,14 @@
  private:
   using Reader = MessageReader</*is_request=*/false>;
 
+  // Runs a handler of this connection. If it throws, the exchange fails and the
+  // connection is closed.
+  template <typename Handler>
+  void Run(const Handler& handler);
   void Connect();
+  void OnConnect(const boost::system::error_code& error);
   void Write();
+  void OnWritten(const boost::system::error_code& error, size_t size);
   void Read();
   void OnRead(const boost::system::error_code& error, size_t size);
   void Parse();
--- a/src/gateway/net/http_listener.cc
+++ b/src/gateway/net/http_listener.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/log.h"
+#include "base/run_guarded.h"
 #include "gateway/net/http_session.h"
 
 namespace mangoyoke {
@@ -109,10 +110,12 @@
   }
 
   void StartSession(Tcp::socket socket) {
-    auto session =
-        std::make_shared<HttpSession>(std::move(socket), handler_, state_);
-    TrackSession(session);
-    session->Start();
+    RunGuarded("accepted_connection", [&] {
+      auto session =
+          std::make_shared<HttpSession>(std::move(socket), handler_, state_);
+      TrackSession(session);
+      session->Start();
+    });
   }
 
   // Takes the connections that the kernel has established already: closing the
--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -11,6 +11,7 @@
 #include <sstream>
 
 #include "base/log.h"
+#include "base/run_guarded.h"
 
 namespace mangoyoke {
 namespace {
@@ -47,6 +48,8 @@
       return "stopping";
     case CloseReason::kResponseBroken:
       return "response_broken";
+    case CloseReason::kInternalError:
+      return "internal_error";
   }
   return "unknown";
 }
@@ -93,6 +96,17 @@
   NextRequest();
 }
 
+template <typename Handler>
+void HttpSession::Run(const Handler& handler) {
+  RunGuarded("caller_connection", handler, [this] {
+    auto callback = std::exchange(on_disconnect_, nullptr);
+    Close(CloseReason::kInternalError);
+    if (callback) {
+      callback();
+    }
+  });
+}
+
 void HttpSession::NextRequest() {
   reader_.reset();
   state_ = State::kIdle;
@@ -121,7 +135,7 @@
       [self = shared_from_this()](const boost::system::error_code& /*error*/) {
         self->waiting_ = false;
         if (!self->closed_) {
-          self->OnReadable();
+          self->Run([&] { self->OnReadable(); });
         }
       });
 }
@@ -227,9 +241,22 @@
   keep_alive_ = request.keep_alive();
   is_head_request_ = request.method() == http::verb::head;
   chunked_ = request.version() > kHttp10;
+  response_begun_ = false;
   response_ended_ = false;
   WaitForBytes();  // For the caller's disconnect.
-  handler_.OnRequest(std::move(request), shared_from_this());
+  RunGuarded(
+      "request_handler",
+      [&] { handler_.OnRequest(std::move(request), shared_from_this()); },
+      [&] { OnDispatchFailed(); });
+}
+
+void HttpSession::OnDispatchFailed() {
+  if (response_begun_) {
+    Abort();
+    return;
+  }
+  Reply(handler_.MakeParseErrorResponse(
+      Error{ErrorCode::kInternal, "the request could not be handled"}));
 }
 
 void HttpSession::OnCallerDisconnected() {
@@ -314,6 +341,7 @@
   if (closed_ || data.empty()) {
     return;
   }
+  response_begun_ = true;
   queued_bytes_ += data.size();
   write_queue_.push_back(std::move(data));
   if (queued_bytes_ > kBackpressureBytes && !backpressure_) {
@@ -330,32 +358,33 @@
     return;
   }
   writing_ = true;
-  boost::asio::async_write(
-      socket_, boost::asio::buffer(write_queue_.front()),
-      [self = shared_from_this()](const boost::system::error_code& error,
-                                  size_t) {
-        self->writing_ = false;
-        if (self->closed_) {
-          return;
-        }
-        if (error) {
-          self->OnCallerDisconnected();
-          return;
-        }
-        self->queued_bytes_ -= self->write_queue_.front().size();
-        self->write_queue_.pop_front();
-        if (self->backpressure_ &&
-            self->queued_bytes_ < kBackpressureBytes / 2) {
-          self->backpressure_ = false;
-          if (self->on_backpressure_) {
-            self->on_backpressure_(false);
-          }
-        }
-        self->WriteNext();
-        if (self->write_queue_.empty() && self->response_ended_) {
-          self->OnResponseWritten();
-        }
-      });
+  boost::asio::async_write(socket_, boost::asio::buffer(write_queue_.front()),
+                           [self = shared_from_this()](
+                               const boost::system::error_code& error, size_t) {
+                             self->writing_ = false;
+                             if (!self->closed_) {
+                               self->Run([&] { self->OnWritten(error); });
+                             }
+                           });
+}
+
+void HttpSession::OnWritten(const boost::system::error_code& error) {
+  if (error) {
+    OnCallerDisconnected();
+    return;
+  }
+  queued_bytes_ -= write_queue_.front().size();
+  write_queue_.pop_front();
+  if (backpressure_ && queued_bytes_ < kBackpressureBytes / 2) {
+    backpressure_ = false;
+    if (on_backpressure_) {
+      on_backpressure_(false);
+    }
+  }
+  WriteNext();
+  if (write_queue_.empty() && response_ended_) {
+    OnResponseWritten();
+  }
 }
 
 void HttpSession::OnResponseWritten() {
@@ -404,7 +433,7 @@
       [weak = weak_from_this()](const boost::system::error_code& error) {
         auto self = weak.lock();
         if (!error && self && !self->closed_) {
-          self->OnTimeout();
+          self->Run([&] { self->OnTimeout(); });
         }
       });
 }
--- a/src/gateway/net/http_session.h
+++ b/src/gateway/net/http_session.h
@@ -33,6 +33,7 @@
   kBodyTimeout,     // The body did not arrive in time.
   kStopping,        // The instance is stopping and the connection was idle.
   kResponseBroken,  // The response cannot be completed.
+  kInternalError,   // A handler of the connection failed.
 };
 
 // Keeps itself alive while an operation on its socket is in progress. The
@@ -73,6 +74,9 @@
   enum class State { kIdle, kReading, kResponding, kLingering };
   static std::string_view StateName(State state);
 
+  // Runs a handler of this connection. If it throws, the connection is closed.
+  template <typename Handler>
+  void Run(const Handler& handler);
   void NextRequest();
   // Waits until the socket is readable. Bytes stay in the socket until they are
   // handled, so that UnreadBytes sees them; and no buffer is in use meanwhile.
@@ -85,6 +89,8 @@
   void BeginRequest();
   void OnHeadParsed();
   void Dispatch();
+  // The request could not be handed to its handler.
+  void OnDispatchFailed();
   void RejectRequest(const Error& error);
   // The same, and logs it: the bytes cannot be read or exceed a limit.
   void RejectMalformedRequest(const Error& error);
@@ -93,6 +99,7 @@
   void OnCallerDisconnected();
   void Enqueue(std::string data);
   void WriteNext();
+  void OnWritten(const boost::system::error_code& error);
   void OnResponseWritten();
   void EndResponse();
   // The idle timeout that holds for this connection: the longest that was in
@@ -127,6 +134,7 @@
   bool keep_alive_ = true;        // Stay open after the response.
   bool is_head_request_ = false;  // HEAD request: the response has no body.
   bool chunked_ = false;          // Streamed responses use chunked encoding.
+  bool response_begun_ = false;   // Bytes of it are in the queue or written.
   bool response_ended_ = false;   // The complete response is in the queue.
   bool waiting_ = false;          // A wait for bytes is in progress.
   bool closed_ = false;
--- a/src/gateway/net/timed_exchange.cc
+++ b/src/gateway/net/timed_exchange.cc
@@ -4,6 +4,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include "base/run_guarded.h"
+
 namespace mangoyoke {
 namespace {
 
@@ -38,7 +40,7 @@
     // The address cannot be parsed.
     boost::asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_)] {
       if (!alive.expired()) {
-        OnEnd(ExchangeResult::kNotSent);
+        RunGuarded("exchange_end", [this] { OnEnd(ExchangeResult::kNotSent); });
       }
     });
     return;
@@ -62,7 +64,7 @@
         timer_.expiry() > SteadyClock::now()) {
       return;
     }
-    OnTimeout();
+    RunGuarded("exchange_timeout", [this] { OnTimeout(); });
   });
 }
 
--- a/src/gateway/traffic/active_request.cc
+++ b/src/gateway/traffic/active_request.cc
@@ -80,7 +80,8 @@
 
 void ActiveRequestTable::Add(std::unique_ptr<ActiveRequest> request) {
   uint64_t id = request->id();
-  requests_.emplace(id, std::move(request)).first->second->Start();
+  requests_.emplace(id, std::move(request));
+  Run(id, [](ActiveRequest& added) { added.Start(); });
 }
 
 ActiveRequest* ActiveRequestTable::Find(uint64_t id) {
@@ -92,15 +93,23 @@
   boost::asio::post(io_, [this, id] { requests_.erase(id); });
 }
 
+void ActiveRequestTable::EndAfterFailure(uint64_t id) {
+  boost::asio::post(io_, [this, id] {
+    if (ActiveRequest* request = Find(id)) {
+      RunGuarded("failed_request", [&] { request->EndAfterFailure(); });
+    }
+  });
+}
+
 void ActiveRequestTable::EndAll() {
-  for (auto& [id, request] : requests_) {
-    request->EndNow("the instance stops");
+  for (const auto& [id, request] : requests_) {
+    Run(id, [](ActiveRequest& active) { active.EndNow("the instance stops"); });
   }
 }
 
 void ActiveRequestTable::NotifyQuarantine() {
-  for (auto& [id, request] : requests_) {
-    request->OnQuarantine();
+  for (const auto& [id, request] : requests_) {
+    Run(id, [](ActiveRequest& active) { active.OnQuarantine(); });
   }
 }
 
@@ -166,6 +175,18 @@
   }
 }
 
+void ActiveRequest::EndAfterFailure() {
+  constexpr std::string_view kWhy = "an internal error";
+  if (ended_) {
+    return;
+  }
+  if (streaming_) {
+    AbortStream(ErrorCode::kInternal, kWhy);
+  } else {
+    SendErrorResponse(ErrorCode::kInternal, kWhy);
+  }
+}
+
 void ActiveRequest::AddLogFields(LogEvent&) const {}
 
 Duration ActiveRequest::TimeLeft() const {
@@ -410,16 +431,59 @@
   BackendRequestOptions full_options = options;
   full_options.server = &server;
   full_options.timeout = ServerTimeout();
+  HttpRequest request = context_.backends.EncodeRequest(
+      input_.request, input_.caller_request, full_options);
   last_server_ = server.id;
   last_stage_ = server.stage;
   last_progress_ = SteadyClock::now();
   silence_known_ = false;
   attempt_ = std::make_unique<ServerAttempt>(context_, server, charge);
-  attempt_->Start(context_.backends.EncodeRequest(
-                      input_.request, input_.caller_request, full_options),
-                  input_.caller_request.id,
+  attempt_->Start(std::move(request), input_.caller_request.id,
                   !options.prefill_only && !input_.route->IsRetrySafe(),
-                  timeout, std::move(callbacks));
+                  timeout, Guarded(std::move(callbacks)));
+}
+
+void ActiveRequest::StartOwnAttempt(const BackendServer& server,
+                                    HttpRequest request,
+                                    Duration timeout,
+                                    AttemptCallbacks callbacks) {
+  attempt_ = std::make_unique<ServerAttempt>(context_, server, LoadCharge{});
+  attempt_->Start(std::move(request), "", false, timeout,
+                  Guarded(std::move(callbacks)));
+}
+
+AttemptCallbacks ActiveRequest::Guarded(AttemptCallbacks callbacks) {
+  auto guard = [&table = table_, id = id_](const auto& action) {
+    RunGuarded("attempt", action, [&] { table.EndAfterFailure(id); });
+  };
+  AttemptCallbacks guarded;
+  if (callbacks.on_head) {
+    guarded.on_head = [guard, on_head = std::move(callbacks.on_head)](
+                          const http::response_header<>& head,
+                          const BackendResponse& response) {
+      bool stream = false;
+      guard([&] { stream = on_head(head, response); });
+      return stream;
+    };
+  }
+  if (callbacks.on_data) {
+    guarded.on_data =
+        [guard, on_data = std::move(callbacks.on_data)](std::string data) {
+          guard([&] { on_data(std::move(data)); });
+        };
+  }
+  if (callbacks.on_timeout) {
+    guarded.on_timeout = [guard, on_timeout = std::move(callbacks.on_timeout)] {
+      std::optional<Duration> wait;
+      guard([&] { wait = on_timeout(); });
+      return wait;
+    };
+  }
+  guarded.on_end =
+      [guard, on_end = std::move(callbacks.on_end)](AttemptOutcome outcome) {
+        guard([&] { on_end(std::move(outcome)); });
+      };
+  return guarded;
 }
 
 void ActiveRequest::LogSilence(std::string_view decision,
--- a/src/gateway/traffic/active_request.h
+++ b/src/gateway/traffic/active_request.h
@@ -18,6 +18,7 @@
 #include <string>
 
 #include "base/log.h"
+#include "base/run_guarded.h"
 #include "gateway/net/http_listener.h"
 #include "gateway/traffic/server_attempt.h"
 #include "gateway/traffic/traffic_context.h"
@@ -50,6 +51,12 @@
   void Add(std::unique_ptr<ActiveRequest> request);
   // Returns null if the request has ended and was removed.
   ActiveRequest* Find(uint64_t id);
+  // Calls `action` with the request, unless it was removed. If that throws,
+  // ends the request with an error.
+  template <typename Action>
+  void Run(uint64_t id, const Action& action);
+  // Ends the request later, since the handler that failed may belong to it.
+  void EndAfterFailure(uint64_t id);
   // Destroys an ended request after the current callback has returned, since
   // that callback may belong to the request.
   void ScheduleRemoval(uint64_t id);
@@ -91,6 +98,8 @@
   // Ends the request with the error that fits what may have been executed; no
   // effect if it has ended.
   void EndNow(std::string_view why);
+  // The same, after a handler of the request failed.
+  void EndAfterFailure();
   // A part of prompts was quarantined.
   virtual void OnQuarantine() {}
 
@@ -157,6 +166,12 @@
   PlacementChoice ChooseServer(PlacementQuery query);
   // Whether `server` has not said that it wants no new requests.
   bool WantsWork(const BackendServer& server) const;
+  // Sends `request` of this instance itself to `server`. Cancels the current
+  // attempt, if any.
+  void StartOwnAttempt(const BackendServer& server,
+                       HttpRequest request,
+                       Duration timeout,
+                       AttemptCallbacks callbacks);
   // Sends the request to `server`. Cancels the current attempt, if any.
   // `timeout`: how long the attempt may take.
   void StartAttempt(const BackendServer& server,
@@ -184,9 +199,9 @@
   template <typename Request>
   std::function<void()> GuardedCallback(void (Request::*action)()) {
     return [&table = table_, id = id_, action] {
-      if (auto* request = static_cast<Request*>(table.Find(id))) {
-        (request->*action)();
-      }
+      table.Run(id, [action](ActiveRequest& request) {
+        (static_cast<Request&>(request).*action)();
+      });
     };
   }
 
@@ -205,6 +220,8 @@
  private:
   // When the caller of a request that was not executed may come back.
   Duration RetryAfter(ErrorCode code, std::optional<TimePoint> earliest);
+  // The same callbacks; one that throws ends the request with an error.
+  AttemptCallbacks Guarded(AttemptCallbacks callbacks);
   // Counts, logs and removes the request. `status` is 0 without a response.
   void End(std::string_view outcome, std::string_view why, int status);
 
@@ -222,6 +239,14 @@
   TimePoint last_progress_{};
 };
 
+template <typename Action>
+void ActiveRequestTable::Run(uint64_t id, const Action& action) {
+  if (ActiveRequest* request = Find(id)) {
+    RunGuarded(
+        "request", [&] { action(*request); }, [&] { EndAfterFailure(id); });
+  }
+}
+
 }  // namespace mangoyoke
 
 #endif  // MANGOYOKE_GATEWAY_TRAFFIC_ACTIVE_REQUEST_H_
--- a/src/gateway/traffic/engine_request.cc
+++ b/src/gateway/traffic/engine_request.cc
@@ -248,9 +248,9 @@
   };
   Millis ttl = std::min(std::chrono::duration_cast<Millis>(kReservationTtl),
                         Engine()->max_reservation_ttl);
-  attempt_ = std::make_unique<ServerAttempt>(context_, server, LoadCharge{});
-  attempt_->Start(context_.backends.EncodeReserve(server, KvTokens(), ttl), "",
-                  false, kReserveTimeout, std::move(callbacks));
+  StartOwnAttempt(server,
+                  context_.backends.EncodeReserve(server, KvTokens(), ttl),
+                  kReserveTimeout, std::move(callbacks));
 }
 
 void EngineRequest::OnReserveEnd(const BackendServer& server,
--- a/src/gateway/traffic/load_reporter.cc
+++ b/src/gateway/traffic/load_reporter.cc
@@ -11,6 +11,7 @@
 
 #include "base/log.h"
 #include "base/message_pack.h"
+#include "base/run_guarded.h"
 #include "gateway/net/sockets.h"
 
 namespace mangoyoke {
@@ -238,7 +239,8 @@
           return;
         }
         if (!error) {
-          HandleReport(buffer_.data(), size);
+          RunGuarded("load_report",
+                     [&] { HandleReport(buffer_.data(), size); });
         }
         Receive();
       });
--- a/src/gateway/traffic/request_router.cc
+++ b/src/gateway/traffic/request_router.cc
@@ -19,19 +19,21 @@
 RequestRouter::RequestRouter(TrafficContext& context)
     : context_(context),
       requests_(context.io),
-      admission_(
-          context.io,
-          EngineAdmission::Callbacks{
-              [this](uint64_t id) {
-                auto* request = static_cast<EngineRequest*>(requests_.Find(id));
-                return request == nullptr || request->TryAdmit();
-              },
-              [this](uint64_t id) {
-                if (auto* request =
-                        static_cast<EngineRequest*>(requests_.Find(id))) {
-                  request->OnWaitExpired();
-                }
-              }}) {
+      admission_(context.io,
+                 EngineAdmission::Callbacks{
+                     [this](uint64_t id) {
+                       bool waits_no_longer = true;
+                       requests_.Run(id, [&](ActiveRequest& request) {
+                         waits_no_longer =
+                             static_cast<EngineRequest&>(request).TryAdmit();
+                       });
+                       return waits_no_longer;
+                     },
+                     [this](uint64_t id) {
+                       requests_.Run(id, [](ActiveRequest& request) {
+                         static_cast<EngineRequest&>(request).OnWaitExpired();
+                       });
+                     }}) {
   context_.admission = &admission_;
   context_.on_quarantine = [this] { requests_.NotifyQuarantine(); };
 }
--- a/src/gateway/traffic/server_end_detector.cc
+++ b/src/gateway/traffic/server_end_detector.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/log.h"
+#include "base/run_guarded.h"
 
 namespace mangoyoke {
 namespace {
@@ -170,7 +171,7 @@
       .Field("fate", ServerFateName(fate))
       .Field("broken_responses", static_cast<int64_t>(callbacks.size()));
   for (const Callback& callback : callbacks) {
-    callback(fate);
+    RunGuarded("server_check", [&] { callback(fate); });
   }
 }
 
--- a/src/gateway/traffic/traffic_context.cc
+++ b/src/gateway/traffic/traffic_context.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "base/run_guarded.h"
 #include "gateway/traffic/server_attempt.h"
 
 namespace mangoyoke {
@@ -74,16 +75,22 @@
 }  // namespace
 
 void ReleaseHandle(TrafficContext& context, const PrefillHandle& handle) {
-  SendRelease(context, handle.server, handle.address,
-              context.backends.EncodeHandleRelease(handle),
-              "mangoyoke_handles_released_total");
+  // Called by destructors.
+  RunGuarded("handle_release", [&] {
+    SendRelease(context, handle.server, handle.address,
+                context.backends.EncodeHandleRelease(handle),
+                "mangoyoke_handles_released_total");
+  });
 }
 
 void ReleaseReservation(TrafficContext& context,
                         const KvReservation& reservation) {
-  SendRelease(context, reservation.server, reservation.address,
-              context.backends.EncodeReservationRelease(reservation),
-              "mangoyoke_holds_released_total");
+  // Called by destructors.
+  RunGuarded("reservation_release", [&] {
+    SendRelease(context, reservation.server, reservation.address,
+                context.backends.EncodeReservationRelease(reservation),
+                "mangoyoke_holds_released_total");
+  });
 }
 
 }  // namespace mangoyoke
--- a/src/peer/peer_transport.cc
+++ b/src/peer/peer_transport.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "base/message_pack.h"
+#include "base/run_guarded.h"
 #include "peer/peer_connection.h"
 
 namespace mangoyoke {
@@ -185,8 +186,8 @@
       }
       try {
         self->handler_.OnPeerRequest(path, message, respond);
-      } catch (const Json::exception& exception) {
-        // A field is missing or has the wrong type.
+      } catch (const std::exception& exception) {
+        // A field is missing or has the wrong type or value.
         respond(Error{ErrorCode::kPeerMalformed, exception.what()});
       }
     });
@@ -479,11 +480,12 @@
     if (auto link = links_.find(call->address); link != links_.end()) {
       link->second.calls_by_stream.erase(call->stream_id);
     }
-    try {
-      call->callback(std::move(result));
-    } catch (const Json::exception& exception) {
-      call->callback(Error{ErrorCode::kPeerMalformed, exception.what()});
-    }
+    RunGuarded(
+        "peer_response", [&] { call->callback(std::move(result)); },
+        [&] {
+          call->callback(Error{ErrorCode::kPeerMalformed,
+                               "the response could not be handled"});
+        });
   }
 
   asio::io_context& io_;
--- a/tests/support/listener_fixture.h
+++ b/tests/support/listener_fixture.h
@@ -22,6 +22,25 @@
 inline constexpr int kPort = 18931;
 inline constexpr char kAddress[] = "127.0.0.1:18931";
 
+// Sends `bytes` to `port` and returns everything received until the connection
+// closes.
+inline std::string SendToPort(int port,
+                              const std::string& bytes,
+                              bool half_close = false) {
+  boost::asio::io_context io;
+  Tcp::socket socket(io);
+  socket.connect(Tcp::endpoint(boost::asio::ip::address_v4::loopback(),
+                               static_cast<uint16_t>(port)));
+  boost::asio::write(socket, boost::asio::buffer(bytes));
+  if (half_close) {
+    socket.shutdown(Tcp::socket::shutdown_send);
+  }
+  std::string received;
+  boost::system::error_code error;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+  return received;
+}
+
 class TestHandler : public RequestHandler {
  public:
   std::function<void(const HttpRequest&, std::shared_ptr<HttpResponder>)>
@@ -62,18 +81,7 @@
   // Sends `bytes` and returns everything received until the connection closes.
   std::string SendAndReceive(const std::string& bytes,
                              bool half_close = false) {
-    boost::asio::io_context io;
-    Tcp::socket socket(io);
-    socket.connect(
-        Tcp::endpoint(boost::asio::ip::address_v4::loopback(), kPort));
-    boost::asio::write(socket, boost::asio::buffer(bytes));
-    if (half_close) {
-      socket.shutdown(Tcp::socket::shutdown_send);
-    }
-    std::string received;
-    boost::system::error_code error;
-    boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
-    return received;
+    return SendToPort(kPort, bytes, half_close);
   }
 
   boost::asio::io_context loop_io_{1};
--- a/tests/support/traffic_fixture.h
+++ b/tests/support/traffic_fixture.h
@@ -32,11 +32,15 @@
 
 class GatewayTrafficTest : public ::testing::Test {
  protected:
-  GatewayTrafficTest()
-      : context_(io_,
+  // `backends`: how servers are spoken to, if not as the platform does.
+  explicit GatewayTrafficTest(
+      std::unique_ptr<BackendCodec> backends =
+          std::make_unique<platform::PlatformBackendCodec>())
+      : backends_(std::move(backends)),
+        context_(io_,
                  "z",
                  callers_,
-                 backends_,
+                 *backends_,
                  metrics_,
                  SharedRetryBudgetOptions{},
                  SteadyClock::now() - kProcessAge),
@@ -142,7 +146,7 @@
 
   boost::asio::io_context io_{1};
   platform::PlatformCallerCodec callers_;
-  platform::PlatformBackendCodec backends_;
+  std::unique_ptr<BackendCodec> backends_;
   Metrics metrics_;
   TrafficContext context_;
   RequestRouter router_;
--- a/tests/unit/peer_bytes_test.cc
+++ b/tests/unit/peer_bytes_test.cc
@@ -3,15 +3,17 @@
 
 #include <gtest/gtest.h>
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <stdexcept>
+
+#include "base/supervisor.h"
+#include "tests/support/listener_fixture.h"
+#include "tests/support/traffic_fixture.h"
 
 namespace mangoyoke {
 namespace {
 
-namespace http = boost::beast::http;
-
 // Assertions of libraries are on in the build of the deploy file.
 TEST(PeerBytesTest, FailedAssertionOfALibraryEndsNoProcess) {
   http::request_parser<http::string_body> parser;
@@ -25,5 +27,106 @@
   EXPECT_THROW(parser.put(last_chunk, error), std::logic_error);
 }
 
+// More failures than a supervisor accepts.
+constexpr int kManyFailures = 20;
+
+// A handler that threw ended the loop, and after some of them the process.
+TEST(PeerBytesTest, FailingHandlersOfRequestsEndNoLoop) {
+  Metrics metrics;
+  TestHandler handler;
+  handler.action = [](const HttpRequest&, auto) {
+    throw std::runtime_error("handler");
+  };
+  Supervisor supervisor(metrics);
+  HttpListener listener(supervisor.AddLoop("traffic"), handler);
+  ASSERT_TRUE(Ok(listener.Listen(kAddress)));
+  supervisor.Start();
+  for (int i = 0; i < kManyFailures; ++i) {
+    EXPECT_TRUE(HasStatus(SendToPort(kPort,
+                                     "GET / HTTP/1.1\r\nHost: h\r\n"
+                                     "Connection: close\r\n\r\n"),
+                          500))
+        << i;
+  }
+  supervisor.Stop();
+  EXPECT_EQ(metrics.FormatText().find("loop_failures"), std::string::npos);
+}
+
+// The wire format of servers, with one function that fails.
+class FailingCodec : public platform::PlatformBackendCodec {
+ public:
+  enum class Place { kRequest, kResponse, kHead };
+
+  explicit FailingCodec(Place place) : place_(place) {}
+
+  HttpRequest EncodeRequest(
+      const HttpRequest& original,
+      const CallerRequest& caller_request,
+      const BackendRequestOptions& options) const override {
+    ThrowIf(Place::kRequest);
+    return PlatformBackendCodec::EncodeRequest(original, caller_request,
+                                               options);
+  }
+  BackendResponse DecodeResponse(
+      const http::response_header<>& head) const override {
+    ThrowIf(Place::kResponse);
+    return PlatformBackendCodec::DecodeResponse(head);
+  }
+  http::response_header<> EncodeResponseHead(
+      const http::response_header<>& head) const override {
+    ThrowIf(Place::kHead);
+    return PlatformBackendCodec::EncodeResponseHead(head);
+  }
+
+ private:
+  void ThrowIf(Place place) const {
+    if (place_ == place) {
+      throw std::runtime_error("codec");
+    }
+  }
+
+  Place place_;
+};
+
+class FailingCodecTest
+    : public GatewayTrafficTest,
+      public ::testing::WithParamInterface<FailingCodec::Place> {
+ protected:
+  FailingCodecTest()
+      : GatewayTrafficTest(std::make_unique<FailingCodec>(GetParam())) {}
+};
+
+// The request ends at once with an error, and the loop goes on. It threw before
+// and ended the thread of the test.
+TEST_P(FailingCodecTest, EndsThePlainRequestAlone) {
+  AddServer(ServerStage::kCombined, RespondWith(http::status::ok, "served"));
+  StartGateway(RequestKind::kNonIdempotent, false, 1);
+  for (int i = 0; i < kManyFailures; ++i) {
+    EXPECT_TRUE(SendRequest().starts_with("HTTP/1.1 5")) << i;
+  }
+  EXPECT_EQ(ActiveRequests(), 0U);
+}
+
+TEST_P(FailingCodecTest, EndsTheStreamAlone) {
+  AddServer(
+      ServerStage::kDecode, [](const HttpRequest& request, auto responder) {
+        HttpResponse response =
+            StampedResponse(request, http::status::ok, "id: 1\ndata: a\n\n");
+        response.set(http::field::content_type, "text/event-stream");
+        responder->Reply(std::move(response));
+      });
+  StartGateway(RequestKind::kStreaming, false, 1);
+  for (int i = 0; i < kManyFailures; ++i) {
+    EXPECT_FALSE(HasStatus(SendRequest(), 200)) << i;
+  }
+  EXPECT_EQ(ActiveRequests(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Places,
+                         FailingCodecTest,
+                         ::testing::Values(FailingCodec::Place::kRequest,
+                                           FailingCodec::Place::kResponse,
+                                           FailingCodec::Place::kHead));
+
 }  // namespace
 }  // namespace mangoyoke
