A field of over 64 KB made the parser throw

What callers saw: no answer. A caller's field of that size, in a head under a large MaxHeaderBytes or in a trailer, threw on the traffic loop; in a server's trailer it left the request to its timeout.

Cause: Beast keeps the length of a field in 16 bits and throws std::length_error beyond; the trailer has no limit of its own.

Fix: MessageReader turns that into kHeaderTooLarge (431, or an incomplete answer), and a trailer may be as long as a head.

Evidence: ListenerTest.LongFieldsAreRejected ended the test process before ("field value too large"), HttpConnectionTest.LongTrailerBreaksTheAnswer failed; both pass now.

--- a/src/gateway/net/message_reader.cc
+++ b/src/gateway/net/message_reader.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <stdexcept>
 #include <utility>
 
 namespace mangoyoke {
@@ -42,7 +43,8 @@
 }
 
 template <bool is_request>
-MessageReader<is_request>::MessageReader(const MessageLimits& limits) {
+MessageReader<is_request>::MessageReader(const MessageLimits& limits)
+    : head_limit_(limits.head) {
   // One part at a time, so that the place of each chunk in the bytes is known.
   parser_.eager(false);
   parser_.header_limit(limits.head);
@@ -66,16 +68,19 @@
 template <bool is_request>
 Result<size_t> MessageReader<is_request>::Read(
     boost::beast::flat_buffer& buffer) {
-  uint64_t chunk_before = chunk_left_;
-  size_t used = 0;
-  if (buffer.size() > 0 && !HasToWait(buffer)) {
-    boost::system::error_code error;
-    used = parser_.put(buffer.data(), error);
-    if (error && error != http::error::need_more) {
-      return ToError(error);
+  if (HasToWait(buffer)) {
+    if (buffer.size() > head_limit_) {
+      return ToError(http::make_error_code(http::error::header_limit));
     }
-    buffer.consume(used);
+    return size_t{0};
   }
+  uint64_t chunk_before = chunk_left_;
+  auto put = Put(buffer);
+  if (!Ok(put)) {
+    return put;
+  }
+  size_t used = std::get<size_t>(put);
+  buffer.consume(used);
   if (chunk_before > 0) {
     chunk_left_ -= used;
   }
@@ -85,6 +90,25 @@
   return used;
 }
 
+template <bool is_request>
+Result<size_t> MessageReader<is_request>::Put(
+    const boost::beast::flat_buffer& buffer) {
+  if (buffer.size() == 0) {
+    return size_t{0};
+  }
+  try {
+    boost::system::error_code error;
+    size_t used = parser_.put(buffer.data(), error);
+    if (error && error != http::error::need_more) {
+      return ToError(error);
+    }
+    return used;
+  } catch (const std::length_error& exception) {
+    // A field is longer than Beast can keep, whatever the limit.
+    return Error{ErrorCode::kHeaderTooLarge, exception.what()};
+  }
+}
+
 template <bool is_request>
 bool MessageReader<is_request>::EndsWithConnection() {
   boost::system::error_code error;
--- a/src/gateway/net/message_reader.h
+++ b/src/gateway/net/message_reader.h
@@ -91,8 +91,8 @@
   // Reads the next part of the message from `buffer` and removes it there: the
   // head, the header of a chunk, or bytes of the body. Returns the size of the
   // part; 0 if more bytes have to arrive first. Fails with kMalformedRequest,
-  // kHeaderTooLarge or kRequestTooLarge, after which it must not be called
-  // again. Requires that the message is not done.
+  // kHeaderTooLarge (head or trailer) or kRequestTooLarge, after which it must
+  // not be called again. Requires that the message is not done.
   Result<size_t> Read(boost::beast::flat_buffer& buffer);
   // The connection ended in order. Returns whether that is the end of the
   // message. Requires the head.
@@ -116,7 +116,10 @@
   // Whether the parser may not get the bytes in `buffer` before more of them
   // have arrived.
   bool HasToWait(const boost::beast::flat_buffer& buffer) const;
+  // Gives the parser the bytes in `buffer`. Returns how many it took.
+  Result<size_t> Put(const boost::beast::flat_buffer& buffer);
 
+  uint32_t head_limit_;
   http::parser<is_request, AppendedBody> parser_;
   std::function<
       void(uint64_t, boost::beast::string_view, boost::system::error_code&)>
--- a/tests/unit/gateway_http_test.cc
+++ b/tests/unit/gateway_http_test.cc
@@ -127,6 +127,19 @@
   }
 }
 
+// Fields of this size made the parser throw.
+TEST_F(ListenerTest, LongFieldsAreRejected) {
+  handler_.limits.header_bytes = 1 << 20;
+  const std::string field = "X-Long: " + std::string(70'000, 'x') + "\r\n\r\n";
+  EXPECT_TRUE(SendAndReceive("GET / HTTP/1.1\r\nHost: h\r\n" + field)
+                  .starts_with("HTTP/1.1 431"));
+  const std::string chunked =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+  EXPECT_TRUE(SendAndReceive(chunked + field).starts_with("HTTP/1.1 431"));
+  handler_.limits.header_bytes = 1 << 10;
+  EXPECT_TRUE(SendAndReceive(chunked + field).starts_with("HTTP/1.1 431"));
+}
+
 TEST_F(ListenerTest, ChunkExtensionWithoutEndIsRejected) {
   std::string request =
       "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;x=" +
@@ -364,6 +377,17 @@
   EXPECT_EQ(outcomes[0].result, ExchangeResult::kComplete);
 }
 
+// The parser threw, so that the connection was read no more.
+TEST(HttpConnectionTest, LongTrailerBreaksTheAnswer) {
+  ScriptedServer server(
+      {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+       "X-Long: " +
+       std::string(70'000, 'x') + "\r\n\r\n!"});
+  auto outcomes = Send(server.address(), {"a"});
+  EXPECT_EQ(outcomes[0].result, ExchangeResult::kIncomplete);
+  EXPECT_FALSE(outcomes[0].timed_out);
+}
+
 TEST(HttpConnectionTest, CutAnswerIsBroken) {
   ScriptedServer server(
       {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\n"
