The fields of a trailer counted as fields of the head

What callers and servers saw: a field that a caller sent after the body of a request, such as a second Host or request id, reached the server among the fields of the head. Routing and limits are decided by the head, so that such a field can contradict what they were decided by.

Cause: Beast's parser adds the trailer to the fields that it has.

Fix: MessageReader keeps the head of a chunked message as it was before the trailer. RFC 9110 6.5.1 allows to drop trailers and forbids to merge them without knowing their fields.

Evidence: ListenerTest.FieldsOfATrailerAreDropped failed before (Host and X-New of the trailer reached the handler) and passes now.

--- a/src/gateway/net/message_reader.cc
+++ b/src/gateway/net/message_reader.cc
@@ -84,6 +84,9 @@
   if (chunk_before > 0) {
     chunk_left_ -= used;
   }
+  if (head_done() && !head_without_trailer_ && parser_.chunked()) {
+    head_without_trailer_ = head();
+  }
   if (used == 0 && buffer.size() > kMaxUnreadBytes) {
     return ToError(http::make_error_code(http::error::buffer_overflow));
   }
@@ -134,7 +137,9 @@
 typename MessageReader<is_request>::Message
 MessageReader<is_request>::Release() {
   auto message = parser_.release();
-  return Message(std::move(message.base()), std::move(message.body()));
+  Header& head =
+      head_without_trailer_ ? *head_without_trailer_ : message.base();
+  return Message(std::move(head), std::move(message.body()));
 }
 
 template class MessageReader<true>;
--- a/src/gateway/net/message_reader.h
+++ b/src/gateway/net/message_reader.h
@@ -109,7 +109,8 @@
   bool keep_alive() const { return parser_.keep_alive(); }
   // Removes and returns the bytes of the body read since the last call.
   std::string TakeBody();
-  // Removes and returns the message, which is done.
+  // Removes and returns the message, which is done. Its trailer is dropped: a
+  // field in it must not count as one of the head.
   Message Release();
 
  private:
@@ -124,6 +125,8 @@
   std::function<
       void(uint64_t, boost::beast::string_view, boost::system::error_code&)>
       on_chunk_header_;
+  // The head of a chunked message, to which the parser adds the trailer.
+  std::optional<Header> head_without_trailer_;
   uint64_t chunk_left_ = 0;     // Bytes of the current chunk not read yet.
   bool chunk_started_ = false;  // A chunk with data was begun.
 };
--- a/tests/unit/gateway_http_test.cc
+++ b/tests/unit/gateway_http_test.cc
@@ -140,6 +140,23 @@
   EXPECT_TRUE(SendAndReceive(chunked + field).starts_with("HTTP/1.1 431"));
 }
 
+// They would pass for fields of the head, such as those that route a request.
+TEST_F(ListenerTest, FieldsOfATrailerAreDropped) {
+  handler_.action = [](const HttpRequest& request, auto responder) {
+    HttpResponse response(http::status::ok, 11);
+    for (const auto& field : request) {
+      response.body() += std::string(field.name_string()) + ";";
+    }
+    responder->Reply(std::move(response));
+  };
+  std::string received = SendAndReceive(
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+      "Connection: close\r\n\r\n1\r\nx\r\n0\r\nHost: other\r\nX-New: "
+      "1\r\n\r\n");
+  EXPECT_TRUE(received.ends_with("\r\n\r\nHost;Transfer-Encoding;Connection;"))
+      << received;
+}
+
 TEST_F(ListenerTest, ChunkExtensionWithoutEndIsRejected) {
   std::string request =
       "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;x=" +
