Names in prefill and reservation answers threw, or changed later requests

A handle or reservation with a line end became a header field of its own in the request for the decode, and one of over 64 KB threw there: bytes of one server decided about the request that another one gets.

Cause: the codec took any text as a name, read a number that nobody uses with a function that throws, and read bodies of any size as JSON.

Fix: a name of something that a server keeps is 1 to 256 visible ASCII characters without a meaning in a path (IsPathName); other answers count as broken, so that the next prefill server, or the decode server, reads the prompt. Answers to this instance's own requests may have 64 KB. The number of tokens is not read any more.

--- a/src/gateway/core/codecs.h
+++ b/src/gateway/core/codecs.h
@@ -50,8 +50,8 @@
 struct PrefillHandle {
   BackendId server;
   std::string address;  // Of that server, "IP:port".
-  std::string handle;   // Assigned by that server.
-  int64_t tokens = 0;
+  // Assigned by that server; see IsPathName.
+  std::string handle;
 
   bool operator==(const PrefillHandle&) const = default;
 };
@@ -60,7 +60,7 @@
 struct KvReservation {
   BackendId server;
   std::string address;  // Of that server, "IP:port".
-  std::string id;       // Assigned by that server.
+  std::string id;       // Assigned by that server; see IsPathName.
 
   bool operator==(const KvReservation&) const = default;
 };
@@ -129,7 +129,8 @@
   // concern one connection only.
   virtual http::response_header<> EncodeResponseHead(
       const http::response_header<>& head) const = 0;
-  // Decodes the KV handle in the body of a prefill response of `server`.
+  // Decodes the KV handle in the body of a prefill response of `server`. Fails
+  // with kBackendBroken if there is none, or one that cannot be sent on.
   virtual Result<PrefillHandle> DecodePrefill(
       const BackendServer& server,
       const std::string& body) const = 0;
@@ -141,7 +142,8 @@
   virtual HttpRequest EncodeReserve(const BackendServer& server,
                                     int64_t tokens,
                                     Millis ttl) const = 0;
-  // Decodes the body of the server's response to a reservation request.
+  // Decodes the body of the server's response to a reservation request, with
+  // the same errors.
   virtual Result<KvReservation> DecodeReservation(
       const BackendServer& server,
       const std::string& body) const = 0;
