An odd event id threw when the stream was resumed after it

What callers saw: a stream that broke off after an event whose id has over 64 KB: the request hung until its timeout, and the sixth within a minute ended the process. An id with a bare CR or a NUL was sent as it was, so that a server could read another field in the request that resumes the stream.

Cause: the framer took any text as an id; it is sent as Last-Event-Id.

Fix: an id that is no field value of up to 1024 bytes counts as none: the stream cannot go on after it, as after an event without an id.

Evidence: OddEventIdTest (five ids) ended by std::length_error before, or saw the second request with X-Injected; it passes now, with no second request.

--- a/src/gateway/core/event_stream_framer.cc
+++ b/src/gateway/core/event_stream_framer.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/core/header_text.h"
+
 namespace mangoyoke {
 namespace {
 
@@ -162,7 +164,11 @@
     fault_ = StreamFault::kRepeated;
     return;
   }
-  id_ = id;
+  // After an id that cannot be sent to the next server, the stream cannot go
+  // on there, as after an event without an id.
+  if (IsFieldValue(id)) {
+    id_ = id;
+  }
 }
 
 bool EventStreamFramer::IsRepeated(std::string_view id) const {
--- a/tests/unit/odd_server_answers_test.cc
+++ b/tests/unit/odd_server_answers_test.cc
@@ -107,5 +107,37 @@
   }
 }
 
+class OddEventIdTest : public OddServerAnswersTest,
+                       public ::testing::WithParamInterface<std::string> {};
+
+// An id that cannot be sent in a field threw when the stream was resumed after
+// it, or changed the request that resumes it.
+TEST_P(OddEventIdTest, StreamIsCutAfterIt) {
+  auto script = Recorded([](const RawRequest&) {
+    return RawAnswer{
+        "HTTP/1.1 200 OK\r\nX-Mangoyoke-Request-Id: id-1\r\n"
+        "X-Mangoyoke-Response-Stamp: stamp\r\n" +
+            std::string(kStream) + "Content-Length: 100000\r\n" +
+            "\r\nid: " + GetParam() + "\ndata: a\n\n",
+        RawAnswer::End::kClose};
+  });
+  AddRawServer(ServerStage::kDecode, script);
+  AddRawServer(ServerStage::kDecode, script);
+  StartRaw(RequestKind::kStreaming, true, 2);
+  ReceivedResponse response = Receive();
+  EXPECT_TRUE(response.bytes.starts_with("HTTP/1.1 200")) << response.bytes;
+  EXPECT_FALSE(response.complete) << response.bytes;
+  ExpectNothingInjected("");
+  EXPECT_EQ(raw_servers_[0]->requests() + raw_servers_[1]->requests(), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(Ids,
+                         OddEventIdTest,
+                         ::testing::Values(std::string(70'000, '1'),
+                                           "1\rX-Injected: 1",
+                                           std::string("1\0", 2),
+                                           "1\x7f",
+                                           "1 "));
+
 }  // namespace
 }  // namespace mangoyoke
