A server with unreadable reservations was asked again until the deadline

What callers and servers saw: 504 at the deadline, though nothing had run, and hundreds of reservation requests a second at the one server meanwhile.

Cause: a 200 whose body names no reservation counted as a success of the server, which therefore stayed the best choice of the next admission, at once.

Fix: it counts as an error of the server, which is not chosen again for this request; without another one the request is rejected (503), which is true.

Evidence: OddServerAnswersTest.ReservationAnswers failed before (504 for the unreadable bodies) and passes now, with fewer than five requests at the server.

--- a/src/gateway/traffic/engine_request.cc
+++ b/src/gateway/traffic/engine_request.cc
@@ -262,8 +262,8 @@
       OnAdmitted();
       return;
     }
-  }
-  if (outcome.response.status == kNoCapacityStatus) {
+    OnReservationMalformed(server, std::get<Error>(decoded));
+  } else if (outcome.response.status == kNoCapacityStatus) {
     context_.health.RecordOutcome(server,
                                   outcome.response.pause
                                       ? ServerOutcome::kPaused
@@ -275,6 +275,17 @@
   RetryAdmission();
 }
 
+void EngineRequest::OnReservationMalformed(const BackendServer& server,
+                                           const Error& error) {
+  LogEvent("reservation_malformed", LogLevel::kWarning)
+      .Field("request", input_.caller_request.id)
+      .Field("server", server.id)
+      .Field("why", error.detail);
+  context_.health.RecordOutcome(server, ServerOutcome::kError, 0,
+                                SteadyClock::now());
+  excluded_.insert(server.id);
+}
+
 void EngineRequest::FailRequest(ErrorCode code,
                                 std::string_view why,
                                 std::optional<TimePoint> earliest) {
--- a/src/gateway/traffic/engine_request.h
+++ b/src/gateway/traffic/engine_request.h
@@ -92,6 +92,8 @@
   // Requests a KV reservation at `server`.
   void ReserveKv(const BackendServer& server);
   void OnReserveEnd(const BackendServer& server, AttemptOutcome outcome);
+  // The response of `server` names no reservation. Another server is tried.
+  void OnReservationMalformed(const BackendServer& server, const Error& error);
   void ReleaseKvReservation();
   // Starts the prefill, or goes on to decode if there is nothing to prefill at
   // a prefill server.
--- a/tests/unit/odd_server_answers_test.cc
+++ b/tests/unit/odd_server_answers_test.cc
@@ -107,6 +107,38 @@
   }
 }
 
+// A server whose reservations could not be read was asked again and again until
+// the deadline.
+TEST_F(OddServerAnswersTest, ReservationAnswers) {
+  std::string body;
+  EngineSpec engine;
+  engine.slots = 4;
+  engine.kv_tokens = 100'000;
+  engine.max_reservation_ttl = Millis(1000);
+  service_.engine = engine;
+  RawServer& server = AddRawServer(
+      ServerStage::kDecode, Recorded([&](const RawRequest& request) {
+        bool reserves = request.head.starts_with("POST /v1/hold-take");
+        return RawAnswer{reserves ? RawResponse("200 OK", "", "", body)
+                                  : Stream("id: 1\ndata: a\n\n")};
+      }));
+  StartRaw(RequestKind::kStreaming, false, 1);
+  for (const auto& [name, odd] : OddBodies("Hold")) {
+    {
+      std::lock_guard lock(mutex_);
+      body = odd;
+    }
+    int before = server.requests();
+    std::string received = Receive().bytes;
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 200") ||
+                received.starts_with("HTTP/1.1 503") ||
+                received.starts_with("HTTP/1.1 429"))
+        << name << received;
+    ExpectNothingInjected(name);
+    EXPECT_LT(server.requests() - before, 5) << name;
+  }
+}
+
 class OddEventIdTest : public OddServerAnswersTest,
                        public ::testing::WithParamInterface<std::string> {};
 
