A TRACE request with a body threw when it was passed on

Cause: prepare_payload of Beast throws std::invalid_argument for it.

Fix: it is rejected with 400 when it has been read: RFC 9110 9.3.8 has no content in a TRACE request. One without a body is passed on as before.

Evidence: TraceTest.WithABodyIsRejected ended the test process by the exception before and passes now.

--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -238,6 +238,11 @@
   ++requests_;
   timer_.cancel();
   HttpRequest request = reader_->Release();
+  if (request.method() == http::verb::trace && !request.body().empty()) {
+    RejectMalformedRequest(
+        Error{ErrorCode::kMalformedRequest, "a TRACE request with a body"});
+    return;
+  }
   keep_alive_ = request.keep_alive();
   is_head_request_ = request.method() == http::verb::head;
   chunked_ = request.version() > kHttp10;
--- a/tests/unit/peer_bytes_test.cc
+++ b/tests/unit/peer_bytes_test.cc
@@ -52,6 +52,23 @@
   EXPECT_EQ(metrics.FormatText().find("loop_failures"), std::string::npos);
 }
 
+class TraceTest : public GatewayTrafficTest {};
+
+// Its body threw when it was passed on; its caller waited for the timeout.
+TEST_F(TraceTest, WithABodyIsRejected) {
+  AddServer(ServerStage::kCombined, RespondWith(http::status::ok, "served"));
+  StartGateway(RequestKind::kIdempotent, false, 1);
+  EXPECT_TRUE(HasStatus(SendRequest("TRACE"), 200));
+  for (int i = 0; i < kManyFailures; ++i) {
+    EXPECT_TRUE(HasStatus(SendToPort(kListenPort,
+                                     "TRACE /x HTTP/1.1\r\nHost: h\r\n"
+                                     "Content-Length: 1\r\n\r\nx"),
+                          400))
+        << i;
+  }
+  EXPECT_EQ(servers_[0]->requests_received(), 1);
+}
+
 // The wire format of servers, with one function that fails.
 class FailingCodec : public platform::PlatformBackendCodec {
  public:
