Huge numbers of a caller overflowed

Token counts of that size wrapped when they were added up, so that the load known at a server became negative while such a request was in progress.

Cause: the codec accepted any 64-bit number.

Evidence: HugeNumbersTest failed before for (504), and passes now. For the token counts no wrong answer was seen, only read in the code.

--- a/include/mangoyoke/clock.h
+++ b/include/mangoyoke/clock.h
@@ -4,7 +4,9 @@
 #ifndef MANGOYOKE_CLOCK_H_
 #define MANGOYOKE_CLOCK_H_
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstdint>
 
 namespace mangoyoke {
@@ -21,10 +23,16 @@
 }
 
 // Returns `millis` as a duration. The fraction is kept to the resolution of the
-// clock.
+// clock. Longer times than 73 years become as long, so that they can be added
+// up; a value that is no number becomes 0.
 inline Duration FromMillis(double millis) {
+  constexpr Duration kLongest = Duration::max() / 4;
+  if (std::isnan(millis)) {
+    return Duration::zero();
+  }
   return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(millis));
+      std::chrono::duration<double, std::milli>(
+          std::clamp(millis, -ToMillis(kLongest), ToMillis(kLongest))));
 }
 
 // Returns the wall-clock time in seconds since the Unix epoch.
--- a/tests/unit/peer_bytes_test.cc
+++ b/tests/unit/peer_bytes_test.cc
@@ -52,6 +52,36 @@
   EXPECT_EQ(metrics.FormatText().find("loop_failures"), std::string::npos);
 }
 
+class HugeNumbersTest : public GatewayTrafficTest {};
+
+// They overflowed when they were converted or added up: a deadline passed at
+// once, and the load known at a server became negative.
+TEST_F(HugeNumbersTest, OfCallersHurtNoOtherRequest) {
+  AddServer(
+      ServerStage::kDecode, [](const HttpRequest& request, auto responder) {
+        HttpResponse response =
+            StampedResponse(request, http::status::ok, "id: 1\ndata: a\n\n");
+        response.set(http::field::content_type, "text/event-stream");
+        responder->Reply(std::move(response));
+      });
+  StartGateway(RequestKind::kStreaming, false, 1);
+  for (const std::string number :
+       {"9223372036854775807", "13835058055282", "-9223372036854775808", "-1",
+        "99999999999999999999", "1e400", "nan", ""}) {
+    std::string deadline =
+        SendRequest("POST", "X-Mangoyoke-Deadline-Ms: " + number + "\r\n");
+    EXPECT_TRUE(HasStatus(deadline, 200)) << number << deadline;
+    std::string counts = SendToPort(
+        kListenPort,
+        "POST /x HTTP/1.1\r\nHost: h\r\nX-Mangoyoke-Request-Id: id-1\r\n"
+        "X-Mangoyoke-Token-Counts: " +
+            number + "," + number + "\r\nConnection: close\r\n\r\n");
+    EXPECT_TRUE(HasStatus(counts, 200) || HasStatus(counts, 429))
+        << number << counts;
+    EXPECT_TRUE(HasStatus(SendRequest(), 200)) << number;
+  }
+}
+
 class TraceTest : public GatewayTrafficTest {};
 
 // Its body threw when it was passed on; its caller waited for the timeout.
