Answers that callers did not read, and endless ones, used up the memory

Cause: the limit of 32 MB for collected bodies counted them until they were complete, not while they wait for their callers; a reply was copied three times (stream, string, queue); bodies grew by doubling. A prefill answer could have 16 MB. When the limit was reached, whoever asked next failed, not who had taken the memory.

Fix: MemoryBudget, 22 MB for all bodies of responses from their first byte until they are written to the caller. When it is full, the largest body makes room if it is larger than the one that asks, so that other callers go on. A reply is moved into the queue, not copied. Responses to requests of the instance itself may have 64 KB.

--- a/src/gateway/control/store_client.cc
+++ b/src/gateway/control/store_client.cc
@@ -44,8 +44,9 @@
   };
   auto& call = *calls_.emplace(id, std::make_unique<TimedExchange>(io_, pool_))
                     .first->second;
-  call.Start(address_, std::move(request), "", false, timeout,
-             std::move(callbacks));
+  ExchangeOptions options;
+  options.timeout = timeout;
+  call.Start(address_, std::move(request), "", options, std::move(callbacks));
   return id;
 }
 
--- a/src/gateway/net/connection_pool.cc
+++ b/src/gateway/net/connection_pool.cc
@@ -17,20 +17,8 @@
 constexpr double kAvoidStaleIdleShare = 0.6;
 constexpr double kMaxIdleShare = 0.85;
 
-// Limit of all response bodies that are collected at the same time, well below
-// the memory of the smallest instances.
-constexpr size_t kMaxBodyBytes = 32 << 20;
-
 }  // namespace
 
-bool ConnectionPool::ReserveBody(size_t bytes) {
-  if (body_bytes_ + bytes > kMaxBodyBytes) {
-    return false;
-  }
-  body_bytes_ += bytes;
-  return true;
-}
-
 bool ConnectionPool::IsUsable(const HttpConnection& connection,
                               bool avoid_stale,
                               TimePoint now) const {
--- a/src/gateway/net/connection_pool.h
+++ b/src/gateway/net/connection_pool.h
@@ -12,16 +12,22 @@
 #include <vector>
 
 #include "gateway/net/http_connection.h"
+#include "gateway/net/memory_budget.h"
 
 namespace mangoyoke {
 
 // Not thread-safe: used on the event loop's thread only.
 class ConnectionPool {
  public:
+  // Limit of body_memory(), for instances of the smallest size.
+  static constexpr size_t kDefaultBodyMemoryBytes = 22 << 20;
+
   // `extract_request_id` reads the request id that a response head echoes.
   ConnectionPool(boost::asio::io_context& io,
                  HttpConnection::RequestIdExtractor extract_request_id)
-      : io_(io), extract_request_id_(std::move(extract_request_id)) {}
+      : io_(io),
+        extract_request_id_(std::move(extract_request_id)),
+        body_memory_(kDefaultBodyMemoryBytes) {}
 
   // Returns an idle connection to `address` ("IP:port") that has carried no
   // exchange for `request_id`, or a new one that is not connected yet. With
@@ -38,11 +44,8 @@
   // false.
   void Sweep(const std::function<bool(const std::string&)>& in_use);
 
-  // Reserves memory for `bytes` of a response body that is collected. False if
-  // the bodies on all connections would exceed their common limit.
-  bool ReserveBody(size_t bytes);
-  // Returns memory that was reserved.
-  void ReleaseBody(size_t bytes) { body_bytes_ -= bytes; }
+  // The memory of what is collected of responses.
+  MemoryBudget& body_memory() { return body_memory_; }
 
   // Number of connections created since the start.
   uint64_t opened() const { return opened_; }
@@ -63,7 +66,7 @@
   // By address, the most recently used connection last.
   std::map<std::string, std::vector<std::shared_ptr<HttpConnection>>> idle_;
   uint64_t opened_ = 0;
-  size_t body_bytes_ = 0;  // Reserved now.
+  MemoryBudget body_memory_;
 };
 
 }  // namespace mangoyoke
--- a/src/gateway/net/http_listener.h
+++ b/src/gateway/net/http_listener.h
@@ -14,6 +14,7 @@
 #include <string>
 
 #include "gateway/core/codecs.h"
+#include "gateway/net/memory_budget.h"
 #include "gateway/net/sockets.h"
 
 namespace mangoyoke {
@@ -25,8 +26,14 @@
 class HttpResponder {
  public:
   virtual ~HttpResponder() = default;
-  // Sends a complete response.
-  virtual void Reply(HttpResponse response) = 0;
+  // Sends a complete response. `body_memory` is held until it is written; if it
+  // has to make room, the connection is closed.
+  virtual void Reply(HttpResponse response,
+                     MemoryBudget::Share body_memory) = 0;
+  // The same for a response that this instance made itself.
+  void Reply(HttpResponse response) {
+    Reply(std::move(response), MemoryBudget::Share());
+  }
   // Starts a streamed response, which EndStream ends. The transfer encoding is
   // chunked for HTTP/1.1 callers.
   virtual void BeginStream(http::response_header<> head) = 0;
--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -3,6 +3,7 @@
 #include "gateway/net/http_session.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -20,6 +21,8 @@
 // Unsent bytes queued for a slow caller at which backpressure is applied to its
 // backend server. It is released below half of this.
 constexpr size_t kBackpressureBytes = 256 << 10;
+// A longer body is not copied in order to send it together with its head.
+constexpr size_t kMaxCopiedBodyBytes = 16 << 10;
 // The connection fails if written bytes stay unacknowledged this long.
 constexpr Millis kUnackedTimeout{10'000};
 // How long incoming bytes are read and discarded after the last response.
@@ -50,17 +53,12 @@
       return "response_broken";
     case CloseReason::kInternalError:
       return "internal_error";
+    case CloseReason::kMemory:
+      return "memory";
   }
   return "unknown";
 }
 
-template <typename Message>
-std::string Serialize(const Message& message) {
-  std::ostringstream out;
-  out << message;
-  return out.str();
-}
-
 }  // namespace
 
 HttpSession::HttpSession(Tcp::socket socket,
@@ -280,7 +278,8 @@
   on_backpressure_ = std::move(callback);
 }
 
-void HttpSession::Reply(HttpResponse response) {
+void HttpSession::Reply(HttpResponse response,
+                        MemoryBudget::Share body_memory) {
   keep_alive_ = keep_alive_ && !listener_state_->draining;
   response.version(11);
   response.keep_alive(keep_alive_);
@@ -289,7 +288,23 @@
   } else {
     response.body().clear();
   }
-  Enqueue(Serialize(response));
+  std::ostringstream head;
+  head << response.base();
+  std::string body = std::move(response.body());
+  if (body.size() <= kMaxCopiedBodyBytes) {
+    Enqueue(head.str() + body);
+  } else {
+    body_memory.SetGiveUp(
+        [weak = weak_from_this(), executor = socket_.get_executor()] {
+          boost::asio::post(executor, [weak] {
+            if (auto self = weak.lock()) {
+              self->Close(CloseReason::kMemory);
+            }
+          });
+        });
+    Enqueue(head.str());
+    Enqueue(std::move(body), std::move(body_memory));
+  }
   EndResponse();
 }
 
@@ -342,13 +357,13 @@
   }
 }
 
-void HttpSession::Enqueue(std::string data) {
+void HttpSession::Enqueue(std::string data, MemoryBudget::Share memory) {
   if (closed_ || data.empty()) {
     return;
   }
   response_begun_ = true;
   queued_bytes_ += data.size();
-  write_queue_.push_back(std::move(data));
+  write_queue_.push_back(QueuedBytes{std::move(data), std::move(memory)});
   if (queued_bytes_ > kBackpressureBytes && !backpressure_) {
     backpressure_ = true;
     if (on_backpressure_) {
@@ -363,7 +378,8 @@
     return;
   }
   writing_ = true;
-  boost::asio::async_write(socket_, boost::asio::buffer(write_queue_.front()),
+  boost::asio::async_write(socket_,
+                           boost::asio::buffer(write_queue_.front().data),
                            [self = shared_from_this()](
                                const boost::system::error_code& error, size_t) {
                              self->writing_ = false;
@@ -378,7 +394,7 @@
     OnCallerDisconnected();
     return;
   }
-  queued_bytes_ -= write_queue_.front().size();
+  queued_bytes_ -= write_queue_.front().data.size();
   write_queue_.pop_front();
   if (backpressure_ && queued_bytes_ < kBackpressureBytes / 2) {
     backpressure_ = false;
--- a/src/gateway/net/http_session.h
+++ b/src/gateway/net/http_session.h
@@ -34,6 +34,7 @@
   kStopping,        // The instance is stopping and the connection was idle.
   kResponseBroken,  // The response cannot be completed.
   kInternalError,   // A handler of the connection failed.
+  kMemory,          // The response is not read, and its memory is needed.
 };
 
 // Keeps itself alive while an operation on its socket is in progress. The
@@ -59,7 +60,8 @@
     return !closed_ && (state_ != State::kIdle || listener_state_->stopped);
   }
 
-  void Reply(HttpResponse response) override;
+  using HttpResponder::Reply;
+  void Reply(HttpResponse response, MemoryBudget::Share body_memory) override;
   void BeginStream(http::response_header<> head) override;
   void Write(std::string data) override;
   void EndStream() override;
@@ -97,7 +99,7 @@
   // The request did not arrive whole in time.
   void RejectIncompleteRequest();
   void OnCallerDisconnected();
-  void Enqueue(std::string data);
+  void Enqueue(std::string data, MemoryBudget::Share memory = {});
   void WriteNext();
   void OnWritten(const boost::system::error_code& error);
   void OnResponseWritten();
@@ -139,7 +141,11 @@
   bool waiting_ = false;          // A wait for bytes is in progress.
   bool closed_ = false;
   bool backpressure_ = false;
-  std::deque<std::string> write_queue_;  // The front is being written.
+  struct QueuedBytes {
+    std::string data;
+    MemoryBudget::Share memory;
+  };
+  std::deque<QueuedBytes> write_queue_;  // The front is being written.
   size_t queued_bytes_ = 0;
   bool writing_ = false;
   std::function<void()> on_disconnect_;
--- a/src/gateway/net/timed_exchange.cc
+++ b/src/gateway/net/timed_exchange.cc
@@ -7,20 +7,11 @@
 #include "base/run_guarded.h"
 
 namespace mangoyoke {
-namespace {
-
-// Maximum size of one response body that is collected in memory. A larger one
-// ends the exchange as kIncomplete, as does one for which the pool's limit
-// leaves no room.
-constexpr size_t kMaxBufferedBodyBytes = 16 << 20;
-
-}  // namespace
 
 TimedExchange::TimedExchange(boost::asio::io_context& io, ConnectionPool& pool)
     : io_(io), pool_(pool), timer_(io) {}
 
 TimedExchange::~TimedExchange() {
-  pool_.ReleaseBody(outcome_.body.size());
   if (connection_) {
     connection_->Close();
   }
@@ -29,13 +20,13 @@
 void TimedExchange::Start(const std::string& address,
                           HttpRequest request,
                           const std::string& request_id,
-                          bool avoid_stale,
-                          Duration timeout,
+                          const ExchangeOptions& options,
                           ExchangeCallbacks callbacks) {
   started_ = SteadyClock::now();
   address_ = address;
   callbacks_ = std::move(callbacks);
-  connection_ = pool_.Take(address, request_id, avoid_stale);
+  max_body_bytes_ = options.max_body_bytes;
+  connection_ = pool_.Take(address, request_id, options.avoid_stale);
   if (!connection_) {
     // The address cannot be parsed.
     boost::asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_)] {
@@ -45,7 +36,7 @@
     });
     return;
   }
-  SetTimeout(timeout);
+  SetTimeout(options.timeout);
   connection_->Send(std::move(request), request_id, *this);
 }
 
@@ -108,7 +99,7 @@
     stream_body_ = callbacks_.on_head(head);
   }
   // Such a body would be received in vain.
-  if (!stream_body_ && body_length.value_or(0) > kMaxBufferedBodyBytes) {
+  if (!stream_body_ && body_length.value_or(0) > max_body_bytes_) {
     Abort();
   }
 }
@@ -118,12 +109,22 @@
     callbacks_.on_data(std::move(data));
     return;
   }
-  if (outcome_.body.size() + data.size() > kMaxBufferedBodyBytes ||
-      !pool_.ReserveBody(data.size())) {
+  if (outcome_.body.empty()) {
+    outcome_.body_memory =
+        pool_.body_memory().NewShare([this] { AbortLater(); });
+  }
+  if (outcome_.body.size() + data.size() > max_body_bytes_ ||
+      !AppendWithin(outcome_.body_memory, outcome_.body, data)) {
     Abort();
-    return;
   }
-  outcome_.body.append(data);
+}
+
+void TimedExchange::AbortLater() {
+  boost::asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) {
+      RunGuarded("exchange_abort", [this] { Abort(); });
+    }
+  });
 }
 
 void TimedExchange::OnEnd(ExchangeResult result) {
@@ -132,7 +133,7 @@
   if (connection && result == ExchangeResult::kComplete) {
     pool_.Return(address_, std::move(connection));
   }
-  pool_.ReleaseBody(outcome_.body.size());
+  outcome_.body_memory.SetGiveUp(nullptr);
   outcome_.result = result;
   outcome_.elapsed = SteadyClock::now() - started_;
   // The callback may destroy this object.
--- a/src/gateway/net/timed_exchange.h
+++ b/src/gateway/net/timed_exchange.h
@@ -19,7 +19,8 @@
   bool timed_out = false;
   bool aborted = false;                         // By this side, through Abort.
   std::optional<http::response_header<>> head;  // If it was received.
-  std::string body;    // Empty if the body was passed to on_data.
+  std::string body;  // Empty if the body was passed to on_data.
+  MemoryBudget::Share body_memory;
   Duration elapsed{};  // Since Start.
 
   // Whether the response is complete and has a 2xx status.
@@ -28,6 +29,21 @@
   }
 };
 
+struct ExchangeOptions {
+  // Maximum size of a body that is collected. A larger one ends the exchange as
+  // kIncomplete, as does one for which there is no memory.
+  static constexpr size_t kMaxBodyBytes = 16 << 20;
+  // The same for responses to requests of this instance itself.
+  static constexpr size_t kMaxOwnBodyBytes = 64 << 10;
+
+  // Avoids pooled connections that the server may be about to close.
+  bool avoid_stale = false;
+  // After this the exchange ends as kIncomplete with `timed_out` set, unless
+  // on_timeout prolongs it.
+  Duration timeout{};
+  size_t max_body_bytes = kMaxBodyBytes;
+};
+
 // Called on the event loop's thread.
 struct ExchangeCallbacks {
   // Optional: the response head was received. Returns true to stream the body
@@ -49,14 +65,11 @@
   ~TimedExchange() override;
 
   // Sends `request` to `address` ("IP:port"). Only a response that echoes
-  // `request_id` is accepted. With `avoid_stale`, avoids pooled connections
-  // that the server may be about to close. After `timeout` the exchange ends as
-  // kIncomplete with `timed_out` set, unless on_timeout prolongs it.
+  // `request_id` is accepted.
   void Start(const std::string& address,
              HttpRequest request,
              const std::string& request_id,
-             bool avoid_stale,
-             Duration timeout,
+             const ExchangeOptions& options,
              ExchangeCallbacks callbacks);
   // Restarts the timeout: the exchange now times out `timeout` from now.
   void SetTimeout(Duration timeout);
@@ -74,6 +87,8 @@
  private:
   void StartTimer();
   void OnTimeout();
+  // Calls Abort after the current handler.
+  void AbortLater();
 
   boost::asio::io_context& io_;
   ConnectionPool& pool_;
@@ -82,6 +97,7 @@
   std::shared_ptr<HttpConnection> connection_;  // Null outside an exchange.
   ExchangeCallbacks callbacks_;
   ExchangeOutcome outcome_;
+  size_t max_body_bytes_ = 0;
   bool stream_body_ = false;  // The body goes to on_data.
   bool paused_ = false;
   Duration timeout_{};  // Set last.
--- a/src/gateway/traffic/active_request.cc
+++ b/src/gateway/traffic/active_request.cc
@@ -265,12 +265,13 @@
 }
 
 void ActiveRequest::Reply(const http::response_header<>& head,
-                          std::string body) {
+                          std::string body,
+                          MemoryBudget::Share body_memory) {
   HttpResponse response(context_.backends.EncodeResponseHead(head));
   response.body() = std::move(body);
   int status = static_cast<int>(response.result_int());
   attempt_.reset();
-  input_.responder->Reply(std::move(response));
+  input_.responder->Reply(std::move(response), std::move(body_memory));
   End("answered", "", status);
 }
 
@@ -438,9 +439,15 @@
   last_progress_ = SteadyClock::now();
   silence_known_ = false;
   attempt_ = std::make_unique<ServerAttempt>(context_, server, charge);
+  ExchangeOptions exchange_options;
+  exchange_options.timeout = timeout;
+  if (options.prefill_only) {
+    exchange_options.max_body_bytes = ExchangeOptions::kMaxOwnBodyBytes;
+  } else {
+    exchange_options.avoid_stale = !input_.route->IsRetrySafe();
+  }
   attempt_->Start(std::move(request), input_.caller_request.id,
-                  !options.prefill_only && !input_.route->IsRetrySafe(),
-                  timeout, Guarded(std::move(callbacks)));
+                  exchange_options, Guarded(std::move(callbacks)));
 }
 
 void ActiveRequest::StartOwnAttempt(const BackendServer& server,
@@ -448,7 +455,10 @@
                                     Duration timeout,
                                     AttemptCallbacks callbacks) {
   attempt_ = std::make_unique<ServerAttempt>(context_, server, LoadCharge{});
-  attempt_->Start(std::move(request), "", false, timeout,
+  ExchangeOptions exchange_options;
+  exchange_options.timeout = timeout;
+  exchange_options.max_body_bytes = ExchangeOptions::kMaxOwnBodyBytes;
+  attempt_->Start(std::move(request), "", exchange_options,
                   Guarded(std::move(callbacks)));
 }
 
--- a/src/gateway/traffic/active_request.h
+++ b/src/gateway/traffic/active_request.h
@@ -141,8 +141,10 @@
   // Rejects the request if no server may have executed it and it would hardly
   // be served before this process stops. Returns whether it did.
   bool RejectIfTooLateForStop();
-  // Sends a backend server's complete response.
-  void Reply(const http::response_header<>& head, std::string body);
+  // Sends a backend server's complete response. `body_memory`: of `body`.
+  void Reply(const http::response_header<>& head,
+             std::string body,
+             MemoryBudget::Share body_memory);
   // Ends a streamed response normally.
   void EndStream();
   // Closes the caller's connection in the middle of a streamed response, so
--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -231,7 +231,7 @@
   if (outcome.Succeeded() && outcome.Framed()) {
     RecordServed(outcome.elapsed);
   }
-  Reply(*outcome.head, std::move(outcome.body));
+  Reply(*outcome.head, std::move(outcome.body), std::move(outcome.body_memory));
 }
 
 void EngineRequest::OnDecodeNotExecuted() {
--- a/src/gateway/traffic/plain_request.cc
+++ b/src/gateway/traffic/plain_request.cc
@@ -128,7 +128,7 @@
     FailOnFalsePromise();
     return;
   }
-  Reply(*outcome.head, std::move(outcome.body));
+  Reply(*outcome.head, std::move(outcome.body), std::move(outcome.body_memory));
 }
 
 MoveObstacle PlainRequest::RetryObstacle(int sent, int executions) const {
@@ -195,7 +195,8 @@
                         std::string_view why,
                         std::optional<TimePoint> earliest) {
   if (last_error_response_) {
-    Reply(*last_error_response_->head, std::move(last_error_response_->body));
+    Reply(*last_error_response_->head, std::move(last_error_response_->body),
+          std::move(last_error_response_->body_memory));
     return;
   }
   bool may_have_executed =
--- a/src/gateway/traffic/server_attempt.cc
+++ b/src/gateway/traffic/server_attempt.cc
@@ -22,8 +22,7 @@
 
 void ServerAttempt::Start(HttpRequest request,
                           const std::string& request_id,
-                          bool avoid_stale_connections,
-                          Duration timeout,
+                          const ExchangeOptions& options,
                           AttemptCallbacks callbacks) {
   ExchangeCallbacks exchange_callbacks;
   exchange_callbacks.on_head = [this, request_id,
@@ -46,8 +45,7 @@
     outcome.response = response_;
     on_end(std::move(outcome));
   };
-  exchange_.Start(server_.address, std::move(request), request_id,
-                  avoid_stale_connections, timeout,
+  exchange_.Start(server_.address, std::move(request), request_id, options,
                   std::move(exchange_callbacks));
 }
 
--- a/src/gateway/traffic/server_attempt.h
+++ b/src/gateway/traffic/server_attempt.h
@@ -57,13 +57,11 @@
   ~ServerAttempt();
 
   // Sends `request` and calls `callbacks`. `request_id`: the id to expect in
-  // the response; empty: any. `avoid_stale_connections`: do not use connections
-  // that the server may be about to close; for requests that must not be
-  // retried.
+  // the response; empty: any. Requests that must not be retried avoid stale
+  // connections.
   void Start(HttpRequest request,
              const std::string& request_id,
-             bool avoid_stale_connections,
-             Duration timeout,
+             const ExchangeOptions& options,
              AttemptCallbacks callbacks);
   // Restarts the timeout with `timeout` from now.
   void SetTimeout(Duration timeout) { exchange_.SetTimeout(timeout); }
--- a/src/gateway/traffic/traffic_context.cc
+++ b/src/gateway/traffic/traffic_context.cc
@@ -61,6 +61,9 @@
   }
   context.metrics.Increment(sent_counter);
   uint64_t id = context.next_background_id++;
+  ExchangeOptions exchange_options;
+  exchange_options.timeout = kReleaseTimeout;
+  exchange_options.max_body_bytes = ExchangeOptions::kMaxOwnBodyBytes;
   AttemptCallbacks callbacks;
   callbacks.on_end = [&context, id](AttemptOutcome) {
     boost::asio::post(
@@ -68,7 +71,7 @@
   };
   auto attempt = std::make_unique<ServerAttempt>(context, server, LoadCharge{});
   context.background_attempts.emplace(id, std::move(attempt))
-      .first->second->Start(std::move(release), "", false, kReleaseTimeout,
+      .first->second->Start(std::move(release), "", exchange_options,
                             std::move(callbacks));
 }
 
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -47,6 +47,10 @@
   std::string bytes;
   End end = End::kKeep;
   std::string late;  // Sent some time after `bytes`.
+  // Sent after `bytes` again and again, until the other side closes, with a
+  // pause of `pace` each time.
+  std::string without_end;
+  Millis pace{0};
 };
 
 class RawServer {
@@ -137,6 +141,11 @@
   static bool Send(Tcp::socket& socket, const RawAnswer& answer) {
     boost::system::error_code error;
     boost::asio::write(socket, boost::asio::buffer(answer.bytes), error);
+    while (!answer.without_end.empty() && !error) {
+      boost::asio::write(socket, boost::asio::buffer(answer.without_end),
+                         error);
+      std::this_thread::sleep_for(answer.pace);
+    }
     if (!answer.late.empty()) {
       std::this_thread::sleep_for(kLatePause);
       boost::asio::write(socket, boost::asio::buffer(answer.late), error);
