Events without end used up the memory

Cause: each stream keeps up to 1 MB of an event that is not complete, twice that with the growth of the string, and nothing bounds their sum.

Fix: what a stream keeps of an event beyond 16 KB counts in the budget of response bodies; when that is full, the largest is given up, so that its stream is cut or resumed.

Evidence: LargeBodiesTest.OfEventsOccupyLittleMemory, peak 172 MB before (failed), 43 MB now.

--- a/src/gateway/core/event_stream_framer.cc
+++ b/src/gateway/core/event_stream_framer.cc
@@ -110,7 +110,7 @@
 }
 
 void EventStreamFramer::DiscardPartialEvent() {
-  partial_event_.clear();
+  partial_event_ = std::string();
   fault_ = StreamFault::kNone;
   id_.reset();
   has_data_ = false;
--- a/src/gateway/core/event_stream_framer.h
+++ b/src/gateway/core/event_stream_framer.h
@@ -44,6 +44,8 @@
   // Whether the event in progress is longer than any event may be. The stream
   // then has to be given up.
   bool overlong() const { return partial_event_.size() > kMaxEventBytes; }
+  // The memory of what was received of an event that is not complete yet.
+  size_t partial_event_memory() const { return partial_event_.capacity(); }
   // Bytes received after the last complete event.
   std::string_view partial_event() const { return partial_event_; }
   // Discards a partial event, and a fault, before another server resumes the
--- a/src/gateway/net/memory_budget.h
+++ b/src/gateway/net/memory_budget.h
@@ -64,6 +64,8 @@
   Share& operator=(Share&& other) noexcept;
   ~Share();
 
+  // Whether it belongs to a budget.
+  bool in_use() const { return state_ != nullptr; }
   // Sets the number of bytes. Returns false, without a change, if there is no
   // room or the body was given up. A share of no budget accepts everything.
   bool Resize(size_t bytes);
--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -2,6 +2,7 @@
 // its event stream to the caller, and resuming a broken stream elsewhere.
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 
 #include "base/log.h"
 #include "gateway/traffic/engine_request.h"
@@ -10,6 +11,8 @@
 namespace {
 
 constexpr int kMaxDecodeRejections = 4;
+// Events of ordinary size are not accounted for.
+constexpr size_t kMaxFreeEventBytes = 16 << 10;
 // The load charge of a stream follows its memory in steps of this many tokens,
 // since each change is reported to the peers. The charge is ahead of the memory
 // by more than a step.
@@ -123,7 +126,7 @@
 void EngineRequest::OnDecodeData(std::string data) {
   int64_t events_before = framer_.event_count();
   std::string events = framer_.Push(data);
-  if (framer_.overlong()) {
+  if (framer_.overlong() || !HoldPartialEvent()) {
     attempt_->Abort();
     return;
   }
@@ -134,6 +137,28 @@
   }
 }
 
+bool EngineRequest::HoldPartialEvent() {
+  size_t bytes = framer_.partial_event_memory();
+  if (bytes <= kMaxFreeEventBytes) {
+    partial_event_memory_ = MemoryBudget::Share();
+    return true;
+  }
+  if (!partial_event_memory_.in_use()) {
+    partial_event_memory_ = context_.pool.body_memory().NewShare(
+        [&io = context_.io,
+         abort = GuardedCallback(&EngineRequest::AbortAttempt)] {
+          boost::asio::post(io, abort);
+        });
+  }
+  return partial_event_memory_.Resize(bytes);
+}
+
+void EngineRequest::AbortAttempt() {
+  if (attempt_) {
+    attempt_->Abort();
+  }
+}
+
 void EngineRequest::RelayEvents(std::string events, int64_t events_before) {
   if (events.empty()) {
     return;
--- a/src/gateway/traffic/engine_request.h
+++ b/src/gateway/traffic/engine_request.h
@@ -113,8 +113,13 @@
   bool OnDecodeHead(const http::response_header<>& head,
                     const BackendResponse& response);
   void OnDecodeData(std::string data);
+  // Accounts for the memory of an event that is not complete yet. Returns
+  // whether there is enough.
+  bool HoldPartialEvent();
   // Passes on complete events. `events_before`: the number before them.
   void RelayEvents(std::string events, int64_t events_before);
+  // Ends the attempt in progress, if any: its server sends too much.
+  void AbortAttempt();
   void LogStreamFault() const;
   // Raises the load charge of the stream with its memory.
   void UpdateDecodeCharge();
@@ -168,6 +173,7 @@
   const EngineSpec* Engine() const;
 
   EventStreamFramer framer_;
+  MemoryBudget::Share partial_event_memory_;
   // Estimated time that the caller spent on earlier tries.
   Duration caller_time_spent_{};
   bool late_ = false;        // The target latency can no longer be met.
--- a/tests/integration/endless_answers_test.cc
+++ b/tests/integration/endless_answers_test.cc
@@ -365,5 +365,26 @@
   ExpectSoundProcess();
 }
 
+// One event in each stream that does not end.
+TEST_F(LargeBodiesTest, OfEventsOccupyLittleMemory) {
+  for (int i = 0; i < 4; ++i) {
+    AddServer("events", "decode", [](const RawRequest& request) {
+      RawAnswer answer;
+      answer.bytes =
+          "HTTP/1.1 200 OK\r\nX-Mangoyoke-Request-Id: " + request.id() +
+          "\r\nX-Mangoyoke-Response-Stamp: stamp\r\n"
+          "Content-Type: text/event-stream\r\n\r\ndata: " +
+          std::string(1'040'000, 'x');
+      answer.without_end = "x";
+      answer.pace = Millis(50);
+      return answer;
+    });
+  }
+  StartSystem();
+  StartOtherCallers();
+  SendAndDoNotRead(150, Millis(0), RequestHead("events", 0));
+  ExpectSoundProcess();
+}
+
 }  // namespace
 }  // namespace mangoyoke
