Requests with large bodies used up the memory

Cause: the limit is one of a single request. Bodies grew by doubling, and a pooled connection kept the last request that it had sent, with its body.

Fix: bodies of over 32 KB count in a budget of 22 MB for each listener, twice because of the copy that is sent, until their response is written. What has been read is served. A connection drops the request once it is written.

--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -63,6 +63,8 @@
               kNotExecuted,
               "servers ended while they responded to prompts with a part of "
               "this one"},
+    ErrorInfo{ErrorCode::kNoMemory, "no_memory", 503, kNotExecuted,
+              "no memory is left for the body of the request"},
     ErrorInfo{ErrorCode::kOwnerGone, "owner_gone", 502, kUnknown,
               "the instance that owned the key is gone"},
     ErrorInfo{ErrorCode::kOwnerUnreachable, "owner_unreachable", 502, kUnknown,
--- a/src/gateway/net/http_connection.cc
+++ b/src/gateway/net/http_connection.cc
@@ -71,6 +71,7 @@
 void HttpConnection::Send(HttpRequest request,
                           const std::string& request_id,
                           ExchangeObserver& observer) {
+  is_head_request_ = request.method() == http::verb::head;
   request_ = std::move(request);
   request_id_ = request_id;
   observer_ = &observer;
@@ -142,6 +143,7 @@
 void HttpConnection::OnWritten(const boost::system::error_code& error,
                                size_t size) {
   writing_ = false;
+  request_.reset();
   maybe_sent_ = maybe_sent_ || size > 0;
   if (error && !closed_) {
     Finish(maybe_sent_ ? ExchangeResult::kIncomplete
@@ -284,7 +286,7 @@
 
 void HttpConnection::ResetReader() {
   reader_.emplace(MessageLimits{});
-  if (request_ && request_->method() == http::verb::head) {
+  if (is_head_request_) {
     reader_->SkipBody();
   }
   head_done_ = false;
--- a/src/gateway/net/http_connection.h
+++ b/src/gateway/net/http_connection.h
@@ -154,7 +154,8 @@
   std::vector<size_t> carried_ids_;
   bool connected_ = false;
   bool closed_ = false;
-  bool writing_ = false;     // A write is in progress; it reads request_.
+  bool is_head_request_ = false;  // Responses have no body.
+  bool writing_ = false;          // A write is in progress; it reads request_.
   bool maybe_sent_ = false;  // Bytes of the current request may have been sent.
   bool reading_ = false;     // A read is in progress.
   bool paused_ = false;
--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -23,6 +23,10 @@
 constexpr size_t kBackpressureBytes = 256 << 10;
 // A longer body is not copied in order to send it together with its head.
 constexpr size_t kMaxCopiedBodyBytes = 16 << 10;
+// The body of a request is kept, and copied for the server that gets it.
+constexpr size_t kMemoryPerBodyByte = 2;
+// Requests of ordinary size are not accounted for.
+constexpr size_t kMaxFreeBodyBytes = 32 << 10;
 // The connection fails if written bytes stay unacknowledged this long.
 constexpr Millis kUnackedTimeout{10'000};
 // How long incoming bytes are read and discarded after the last response.
@@ -107,6 +111,7 @@
 
 void HttpSession::NextRequest() {
   reader_.reset();
+  body_memory_ = MemoryBudget::Share();
   state_ = State::kIdle;
   head_parsed_ = false;
   request_bytes_ = 0;
@@ -184,6 +189,10 @@
     if (reader_->head_done() && !head_parsed_) {
       OnHeadParsed();
     }
+    if (!HoldBody()) {
+      RejectForMemory();
+      return;
+    }
   }
   if (reader_->done()) {
     Dispatch();
@@ -195,6 +204,35 @@
   WaitForBytes();
 }
 
+bool HttpSession::HoldBody() {
+  size_t bytes = kMemoryPerBodyByte * reader_->body_memory();
+  if (bytes <= kMaxFreeBodyBytes) {
+    return true;
+  }
+  if (!body_memory_.in_use()) {
+    body_memory_ = listener_state_->body_memory.NewShare(
+        [weak = weak_from_this(), executor = socket_.get_executor()] {
+          boost::asio::post(executor, [weak] {
+            if (auto self = weak.lock()) {
+              self->Run([&] { self->RejectForMemory(); });
+            }
+          });
+        });
+  }
+  return body_memory_.Resize(bytes);
+}
+
+void HttpSession::RejectForMemory() {
+  if (closed_ || state_ != State::kReading) {
+    return;
+  }
+  body_memory_ = MemoryBudget::Share();
+  reader_.reset();
+  LogEvent("request_rejected_for_memory", LogLevel::kWarning)
+      .Field("request_bytes", static_cast<int64_t>(request_bytes_));
+  RejectRequest(Error{ErrorCode::kNoMemory, "too many large requests"});
+}
+
 void HttpSession::BeginRequest() {
   CallerLimits limits = handler_.Limits();
   state_ = State::kReading;
@@ -235,6 +273,8 @@
   state_ = State::kResponding;
   ++requests_;
   timer_.cancel();
+  // What has been read is served.
+  body_memory_.SetGiveUp(nullptr);
   HttpRequest request = reader_->Release();
   if (request.method() == http::verb::trace && !request.body().empty()) {
     RejectMalformedRequest(
--- a/src/gateway/net/http_session.h
+++ b/src/gateway/net/http_session.h
@@ -19,8 +19,13 @@
 
 // Flags that a listener shares with its sessions.
 struct ListenerState {
+  // Limit of `body_memory`, for instances of the smallest size.
+  static constexpr size_t kDefaultBodyMemoryBytes = 22 << 20;
+
   bool draining = false;  // Responses announce that the connection closes.
   bool stopped = false;   // Idle connections are closed.
+  // The memory of requests' bodies, from their first byte to the response.
+  MemoryBudget body_memory{kDefaultBodyMemoryBytes};
 };
 
 // Why a caller's connection was closed.
@@ -98,6 +103,11 @@
   void RejectMalformedRequest(const Error& error);
   // The request did not arrive whole in time.
   void RejectIncompleteRequest();
+  // Accounts for the memory of the body read so far. Returns whether there is
+  // enough.
+  bool HoldBody();
+  // There is no memory for the body of the request that is being read.
+  void RejectForMemory();
   void OnCallerDisconnected();
   void Enqueue(std::string data, MemoryBudget::Share memory = {});
   void WriteNext();
@@ -127,6 +137,7 @@
   boost::beast::flat_buffer buffer_;
   // Empty until the first byte of a request has arrived.
   std::optional<Reader> reader_;
+  MemoryBudget::Share body_memory_;  // Of the current request.
   State state_ = State::kIdle;
   Duration longest_idle_timeout_{};
   TimePoint idle_since_{};  // Of the current or last rest.
--- a/src/gateway/net/message_reader.h
+++ b/src/gateway/net/message_reader.h
@@ -49,6 +49,7 @@
     }
     template <typename Buffers>
     size_t put(const Buffers& buffers, boost::system::error_code& error) {
+      Reserve(boost::asio::buffer_size(buffers));
       for (auto buffer : boost::beast::buffers_range_ref(buffers)) {
         body_.append(static_cast<const char*>(buffer.data()), buffer.size());
       }
@@ -58,6 +59,20 @@
     void finish(boost::system::error_code& error) { error = {}; }
 
    private:
+    // Makes room for `bytes` more, and for a part of the size beyond that.
+    void Reserve(size_t bytes) {
+      constexpr size_t kGrowthDivisor = 4;
+      size_t size = body_.size() + bytes;
+      if (size <= body_.capacity()) {
+        return;
+      }
+      // A string that holds something already would double its capacity.
+      std::string larger;
+      larger.reserve(size + size / kGrowthDivisor);
+      larger.append(body_);
+      body_ = std::move(larger);
+    }
+
     std::string& body_;
   };
 };
@@ -107,6 +122,8 @@
   std::optional<uint64_t> body_length() const;
   // Whether the connection stays open after the message. Requires the head.
   bool keep_alive() const { return parser_.keep_alive(); }
+  // Memory of the bytes of the body that were read and not taken yet.
+  size_t body_memory() const { return parser_.get().body().capacity(); }
   // Removes and returns the bytes of the body read since the last call.
   std::string TakeBody();
   // Removes and returns the message, which is done. Its trailer is dropped: a
--- a/src/gateway/traffic/request_router.cc
+++ b/src/gateway/traffic/request_router.cc
@@ -11,7 +11,8 @@
 namespace mangoyoke {
 namespace {
 
-// Retry-After for callers while there is no configuration yet.
+// Retry-After for callers while there is no configuration yet, or no memory for
+// their requests.
 constexpr Duration kNotReadyRetryAfter = Millis(300);
 
 }  // namespace
@@ -45,7 +46,11 @@
 HttpResponse RequestRouter::MakeParseErrorResponse(const Error& error) const {
   context_.metrics.Increment("mangoyoke_refusals_total", "reason",
                              GetErrorInfo(error.code).name);
-  return context_.callers.EncodeErrorResponse(error, std::nullopt);
+  std::optional<Duration> retry_after;
+  if (error.code == ErrorCode::kNoMemory) {
+    retry_after = kNotReadyRetryAfter;
+  }
+  return context_.callers.EncodeErrorResponse(error, retry_after);
 }
 
 void RequestRouter::SendErrorResponse(HttpResponder& responder,
--- a/tests/integration/endless_answers_test.cc
+++ b/tests/integration/endless_answers_test.cc
@@ -365,6 +365,17 @@
   ExpectSoundProcess();
 }
 
+// Each within MaxBodyBytes.
+TEST_F(LargeBodiesTest, OfRequestsOccupyLittleMemory) {
+  constexpr size_t kBodyBytes = 4 << 20;
+  StartSystem();
+  StartOtherCallers();
+  SendAndDoNotRead(
+      40, Millis(30),
+      RequestHead("plain", kBodyBytes) + std::string(kBodyBytes - 1, 'x'));
+  ExpectSoundProcess();
+}
+
 // One event in each stream that does not end.
 TEST_F(LargeBodiesTest, OfEventsOccupyLittleMemory) {
   for (int i = 0; i < 4; ++i) {
