--- a/src/gateway/control/control_handler.cc
+++ b/src/gateway/control/control_handler.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::string_view kMetricsPath = "/metrics";
+// The requests served here need no body.
+constexpr uint64_t kMaxBodyBytes = 4 << 10;
 
 }  // namespace
 
@@ -27,6 +29,12 @@
   responder->Reply(HandleRequest(request));
 }
 
+CallerLimits ControlHandler::Limits() const {
+  CallerLimits limits;
+  limits.body_bytes = kMaxBodyBytes;
+  return limits;
+}
+
 HttpResponse ControlHandler::MakeParseErrorResponse(const Error& error) const {
   return codec_.EncodeErrorResponse(error, std::nullopt);
 }
--- a/src/gateway/control/control_handler.h
+++ b/src/gateway/control/control_handler.h
@@ -28,7 +28,7 @@
 
   void OnRequest(HttpRequest request,
                  std::shared_ptr<HttpResponder> responder) override;
-  CallerLimits Limits() const override { return CallerLimits{}; }
+  CallerLimits Limits() const override;
   HttpResponse MakeParseErrorResponse(const Error& error) const override;
 
  private:
