Times with a fraction in the settings ended the process at its start

Cause: leave_limit_s, entries_ttl_s, window_s, server_return_ms and change_bound_ms were read as whole numbers.

Fix: they are read as decimals, with the same ranges. The TTL that callers get stays a whole number of seconds, rounded down.

Also a setting [limits] memory_mb, from which the budgets for bodies follow; 88 by default, as before.

--- a/src/gateway/net/http_listener.cc
+++ b/src/gateway/net/http_listener.cc
@@ -71,6 +71,8 @@
     }
   }
 
+  void SetBodyMemory(size_t limit) { state_->body_memory.SetLimit(limit); }
+
   void RejectUnfinished() {
     for (const auto& weak : sessions_) {
       if (auto session = weak.lock()) {
@@ -174,6 +176,10 @@
   return impl_->Listen(address);
 }
 
+void HttpListener::SetBodyMemory(size_t limit) {
+  impl_->SetBodyMemory(limit);
+}
+
 void HttpListener::StartDraining() {
   impl_->StartDraining();
 }
--- a/src/gateway/net/http_listener.h
+++ b/src/gateway/net/http_listener.h
@@ -74,6 +74,8 @@
   // Listens on `address` ("IP:port"). Fails with the errors of ParseEndpoint,
   // or with kSettingsInvalid if the address cannot be bound.
   Result<Unit> Listen(const std::string& address);
+  // Sets the limit, in bytes, of the memory of requests' bodies.
+  void SetBodyMemory(size_t limit);
   // From now on, responses announce that the connection closes.
   void StartDraining();
   // Accepts no new connections and closes idle ones.
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -3,6 +3,7 @@
 #include "gateway/settings.h"
 
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <sstream>
 
@@ -11,10 +12,14 @@
 namespace mangoyoke {
 namespace {
 
-constexpr int64_t kMaxMillis = 600'000;
-constexpr int64_t kMaxSeconds = 3600;
+constexpr double kMillisPerSecond = 1000;
+constexpr double kMaxMillis = 600'000;
+constexpr double kMaxSeconds = 3600;
+// With less, few requests of the usual limits would have room.
+constexpr int64_t kMinMemoryMb = 32;
+constexpr int64_t kMaxMemoryMb = 1 << 20;
 // With less, slow responses of the store would pass for failures.
-constexpr int64_t kMinChangeBoundMillis = 1000;
+constexpr double kMinChangeBoundMillis = 1000;
 
 // Parses one document and collects the problems found in it.
 class GatewaySettingsParser {
@@ -61,6 +66,9 @@
       ReadRetryBudget(reader);
     } else if (kind == "timing") {
       ReadTiming(reader);
+    } else if (kind == "limits") {
+      settings_.memory_mb = reader.Number("memory_mb", settings_.memory_mb,
+                                          kMinMemoryMb, kMaxMemoryMb);
     } else if (kind == "log") {
       settings_.log_level =
           reader.Choice("level", "info", {"debug", "info", "warning", "error"});
@@ -85,18 +93,34 @@
     retry_budget.share = Decimal(reader, "share", retry_budget.share);
     retry_budget.fixed = Decimal(reader, "fixed", retry_budget.fixed);
     retry_budget.window =
-        Seconds(reader.Number("window_s", 10, 1, kMaxSeconds));
+        Time(reader, "window_s", kMillisPerSecond, 10, 1, kMaxSeconds);
   }
 
   void ReadTiming(IniSectionReader& reader) {
-    settings_.max_instance_list_ttl =
-        Seconds(reader.Number("entries_ttl_s", 5, 1, kMaxSeconds));
+    settings_.max_instance_list_ttl = std::chrono::duration_cast<Seconds>(
+        Time(reader, "entries_ttl_s", kMillisPerSecond, 5, 1, kMaxSeconds));
     settings_.drain_timeout =
-        Seconds(reader.Number("leave_limit_s", 8, 1, kMaxSeconds));
+        Time(reader, "leave_limit_s", kMillisPerSecond, 8, 1, kMaxSeconds);
     settings_.server_reregistration_timeout =
-        Millis(reader.Number("server_return_ms", 2000, 1, kMaxMillis));
-    settings_.change_bound = Millis(reader.Number(
-        "change_bound_ms", 2000, kMinChangeBoundMillis, kMaxMillis));
+        Time(reader, "server_return_ms", 1, 2000, 1, kMaxMillis);
+    settings_.change_bound = Time(reader, "change_bound_ms", 1, 2000,
+                                  kMinChangeBoundMillis, kMaxMillis);
+  }
+
+  // Reads a decimal number from `min` to `max`, in units of `unit_ms`.
+  Millis Time(IniSectionReader& reader,
+              const std::string& key,
+              double unit_ms,
+              double fallback,
+              double min,
+              double max) {
+    double value = Decimal(reader, key, fallback);
+    if (!(value >= min && value <= max)) {
+      problems_.push_back(file_ + ": " + key + ": expected a number from " +
+                          std::to_string(min) + " to " + std::to_string(max));
+      value = fallback;
+    }
+    return std::chrono::duration_cast<Millis>(FromMillis(value * unit_ms));
   }
 
   // Reads a decimal number of at least 0.
@@ -110,7 +134,8 @@
     double value = 0;
     const char* end = text.data() + text.size();
     auto [parsed_end, error] = std::from_chars(text.data(), end, value);
-    if (error != std::errc() || parsed_end != end || value < 0) {
+    if (error != std::errc() || parsed_end != end || !std::isfinite(value) ||
+        value < 0) {
       problems_.push_back(file_ + ": " + key +
                           ": expected a number of at least 0, got '" + text +
                           "'");
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -37,13 +37,17 @@
   // Upper bound for the TTL of an instance list given to callers.
   Seconds max_instance_list_ttl{5};
   // Time from the signal to stop until the process is killed.
-  Seconds drain_timeout{8};
+  Millis drain_timeout{8000};
   // After an outage of the store, servers whose rows are gone stay usable this
   // long, so that they can register again.
   Millis server_reregistration_timeout{2000};
   // Time after its confirmation by the store within which a change has to be
   // known to every instance that works.
   Millis change_bound{2000};
+  // [limits]
+  // Memory that the process may occupy, in MB. A fourth of it is for the bodies
+  // of requests, and as much for those of responses.
+  int64_t memory_mb = 88;
   // [log]
   std::string log_level = "info";
 
--- a/src/gateway/traffic/gateway_traffic.cc
+++ b/src/gateway/traffic/gateway_traffic.cc
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr Duration kSweepInterval = Millis(500);
+constexpr size_t kBytesPerMb = 1 << 20;
+// Part of the memory for bodies in each direction: 1 / this.
+constexpr size_t kBodyMemoryDivisor = 4;
 
 }  // namespace
 
@@ -26,7 +29,12 @@
       router_(context_),
       listener_(io, router_),
       reporter_(context_, settings.id, settings.zone),
-      sweep_timer_(io, kSweepInterval, [this] { SweepConnections(); }) {}
+      sweep_timer_(io, kSweepInterval, [this] { SweepConnections(); }) {
+  auto body_memory = static_cast<size_t>(settings.memory_mb) * kBytesPerMb /
+                     kBodyMemoryDivisor;
+  context_.pool.body_memory().SetLimit(body_memory);
+  listener_.SetBodyMemory(body_memory);
+}
 
 Result<Unit> GatewayTraffic::Start() {
   if (auto result = listener_.Listen(settings_.caller_address);
--- a/tests/unit/platform_codec_test.cc
+++ b/tests/unit/platform_codec_test.cc
@@ -306,6 +306,32 @@
   EXPECT_FALSE(Ok(codec.DecodeReservation(server, "{}")));
 }
 
+// The platform may give such bounds; a process ended at its start.
+TEST(GatewaySettingsTest, TimesMayHaveFractions) {
+  auto parsed = ParseGatewaySettings(
+      "[instance]\nid = a\nzone = z\n[listen]\ncallers = 127.0.0.1:1\n"
+      "[store]\naddress = 127.0.0.1:2\n[repeats]\nwindow_s = 2.5\n[timing]\n"
+      "leave_limit_s = 7.5\nentries_ttl_s = 4.5\nchange_bound_ms = 2000.5\n",
+      "f.ini");
+  ASSERT_TRUE(Ok(parsed)) << std::get<Error>(parsed).detail;
+  const auto& settings = std::get<GatewaySettings>(parsed);
+  EXPECT_EQ(settings.retry_budget.window, Millis(2500));
+  EXPECT_EQ(settings.drain_timeout, Millis(7500));
+  EXPECT_EQ(settings.max_instance_list_ttl, Seconds(4));
+  EXPECT_EQ(settings.change_bound, Millis(2000));
+}
+
+TEST(GatewaySettingsTest, TimesOutOfRangeAreRejected) {
+  for (const std::string value : {"0.5", "-1", "nan", "inf", "1e9", "7s", ""}) {
+    auto parsed = ParseGatewaySettings(
+        "[instance]\nid = a\nzone = z\n[listen]\ncallers = 127.0.0.1:1\n"
+        "[store]\naddress = 127.0.0.1:2\n[timing]\nleave_limit_s = " +
+            value + "\n",
+        "f.ini");
+    EXPECT_EQ(Ok(parsed), value.empty()) << value;
+  }
+}
+
 TEST(GatewaySettingsTest, WrongValuesAreNamedByLine) {
   auto wrong = ParseGatewaySettings(
       "[instance]\nid = a\nzone = z\n[listen]\ncallers = 127.0.0.1:1\n"
