Daemon: a body without end was collected until the timeout

What operators would see: the daemon's and the tool's client on libcurl kept every byte of an answer until its timeout, 5 s and more.

Fix: 16 MB at most, as at the gateway; then the exchange is incomplete.

Evidence: HttpClientTest.BodyWithoutEndEndsTheExchange failed before and passes now (26 ms).

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -19,6 +19,11 @@
 using Tcp = asio::ip::tcp;
 
 constexpr long kMaxIdleConnections = 256;
+// Maximum size of a body that is collected. A larger one ends the exchange as
+// kIncomplete.
+constexpr size_t kMaxBodyBytes = 16 << 20;
+// libcurl fails a transfer whose callback takes fewer bytes than it was given.
+constexpr size_t kAbortTransfer = 0;
 constexpr long kFirstFinalStatus = 200;  // Lower ones are interim responses.
 
 void InitCurlOnce() {
@@ -203,6 +208,9 @@
     }
     std::string_view view(data, size * count);
     if (!transfer->on_data) {
+      if (transfer->body.size() + view.size() > kMaxBodyBytes) {
+        return kAbortTransfer;
+      }
       transfer->body.append(view);
       return view.size();
     }
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -56,6 +56,30 @@
   server.Stop();
 }
 
+// Its body was collected until the timeout.
+TEST(HttpClientTest, BodyWithoutEndEndsTheExchange) {
+  constexpr Millis kTimeout{20'000};
+  RawServer server(0, [](const RawRequest&) {
+    RawAnswer answer;
+    answer.bytes = "HTTP/1.1 200 OK\r\n\r\n";
+    answer.without_end = std::string(64 << 10, 'x');
+    return answer;
+  });
+  boost::asio::io_context io(1);
+  HttpClient client(io);
+  ClientResponse response;
+  response.result = TransferResult::kComplete;
+  client.Start({.url = "http://" + server.address() + "/", .timeout = kTimeout},
+               [&](ClientResponse received) {
+                 response = std::move(received);
+                 io.stop();
+               });
+  TimePoint start = SteadyClock::now();
+  io.run_for(kTimeout);
+  EXPECT_EQ(response.result, TransferResult::kIncomplete);
+  EXPECT_LT(SteadyClock::now() - start, kTimeout / 2);
+}
+
 // A response whose first bytes a server sends before it closes the connection.
 struct CutResponse {
   const char* name;
