--- a/src/gateway/net/message_reader.h
+++ b/src/gateway/net/message_reader.h
@@ -37,7 +37,8 @@
 struct AppendedBody {
   using value_type = std::string;
 
-  class reader {
+  // Beast looks for this name.
+  class reader {  // NOLINT(readability-identifier-naming)
    public:
     template <bool is_request, typename Fields>
     reader(http::header<is_request, Fields>& /*head*/, std::string& body)
