A request under an unknown transfer coding was run without its body

Cause: Beast overlooks a transfer coding that it does not know, and codings before or after "chunked", so that such a request has no body for it. The codec removes the field before the request is passed on.

Fix: MessageReader fails at a head whose transfer coding is not exactly "chunked", also for HTTP/1.0 (400 and the connection closes), and for responses with a body: such an answer is incomplete, not passed on without the field that explains its bytes (RFC 9112 6.1, 6.3).

--- a/src/gateway/net/message_reader.cc
+++ b/src/gateway/net/message_reader.cc
@@ -12,6 +12,8 @@
 
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kBlankLine = "\r\n\r\n";
+constexpr std::string_view kChunked = "chunked";
+constexpr int kHttp11 = 11;
 
 std::string_view TextOf(const boost::beast::flat_buffer& buffer) {
   auto data = buffer.data();
@@ -74,6 +76,7 @@
     }
     return size_t{0};
   }
+  bool had_head = head_done();
   uint64_t chunk_before = chunk_left_;
   auto put = Put(buffer);
   if (!Ok(put)) {
@@ -84,6 +87,9 @@
   if (chunk_before > 0) {
     chunk_left_ -= used;
   }
+  if (!had_head && head_done() && !HasKnownCoding()) {
+    return Error{ErrorCode::kMalformedRequest, "unknown transfer coding"};
+  }
   if (head_done() && !head_without_trailer_ && parser_.chunked()) {
     head_without_trailer_ = head();
   }
@@ -93,6 +99,23 @@
   return used;
 }
 
+template <bool is_request>
+bool MessageReader<is_request>::HasKnownCoding() const {
+  auto fields = head().equal_range(http::field::transfer_encoding);
+  if (fields.first == fields.second) {
+    return true;
+  }
+  if (!is_request && done()) {
+    return true;  // A response without a body, whatever the field says.
+  }
+  // What an HTTP/1.0 client means by it is not defined.
+  bool version_knows = !is_request || head().version() >= kHttp11;
+  bool only_field = std::next(fields.first) == fields.second;
+  return version_knows && only_field &&
+         boost::beast::iequals(fields.first->value(),
+                               {kChunked.data(), kChunked.size()});
+}
+
 template <bool is_request>
 Result<size_t> MessageReader<is_request>::Put(
     const boost::beast::flat_buffer& buffer) {
--- a/src/gateway/net/message_reader.h
+++ b/src/gateway/net/message_reader.h
@@ -106,9 +106,10 @@
 
   // Reads the next part of the message from `buffer` and removes it there: the
   // head, the header of a chunk, or bytes of the body. Returns the size of the
-  // part; 0 if more bytes have to arrive first. Fails with kMalformedRequest,
-  // kHeaderTooLarge (head or trailer) or kRequestTooLarge, after which it must
-  // not be called again. Requires that the message is not done.
+  // part; 0 if more bytes have to arrive first. Fails with kMalformedRequest
+  // (also for a transfer coding other than chunked), kHeaderTooLarge (head or
+  // trailer) or kRequestTooLarge, after which it must not be called again.
+  // Requires that the message is not done.
   Result<size_t> Read(boost::beast::flat_buffer& buffer);
   // The connection ended in order. Returns whether that is the end of the
   // message. Requires the head.
@@ -135,6 +136,9 @@
   // Whether the parser may not get the bytes in `buffer` before more of them
   // have arrived.
   bool HasToWait(const boost::beast::flat_buffer& buffer) const;
+  // Whether the end of the message can be told from its head. Beast overlooks
+  // codings that it does not know. Requires the head.
+  bool HasKnownCoding() const;
   // Gives the parser the bytes in `buffer`. Returns how many it took.
   Result<size_t> Put(const boost::beast::flat_buffer& buffer);
 
--- a/tests/unit/gateway_http_test.cc
+++ b/tests/unit/gateway_http_test.cc
@@ -204,6 +204,32 @@
      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
      "zz\r\nabc\r\n",
      "400"},
+    {"unknown_coding",
+     "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n"
+     "GET /inner HTTP/1.1\r\nHost: h\r\n\r\n",
+     "400"},
+    {"unknown_coding_with_length",
+     "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n"
+     "Content-Length: 3\r\n\r\nabc",
+     "400"},
+    {"coding_before_chunked",
+     "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+     "0\r\n\r\n",
+     "400"},
+    {"chunked_twice",
+     "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked, chunked\r\n"
+     "\r\n0\r\n\r\n",
+     "400"},
+    {"codings_in_two_fields",
+     "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+     "400"},
+    {"empty_coding", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding:\r\n\r\n",
+     "400"},
+    {"chunked_by_http_1_0",
+     "POST / HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "0\r\n\r\n",
+     "400"},
     {"long_body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 21\r\n\r\n",
      "413"},
     {"long_header",
@@ -405,6 +431,17 @@
   EXPECT_FALSE(outcomes[0].timed_out);
 }
 
+// Its body could not be told from what follows, or was passed on although the
+// field that explains it was removed.
+TEST(HttpConnectionTest, UnknownTransferCodingBreaksTheAnswer) {
+  for (const std::string coding : {"gzip", "gzip, chunked", "chunked, gzip"}) {
+    ScriptedServer server({"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: " +
+                           coding + "\r\n\r\n0\r\n\r\n!"});
+    auto outcomes = Send(server.address(), {"a"});
+    EXPECT_EQ(outcomes[0].result, ExchangeResult::kIncomplete) << coding;
+  }
+}
+
 TEST(HttpConnectionTest, CutAnswerIsBroken) {
   ScriptedServer server(
       {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\n"
