--- a/src/gateway/net/http_session.cc
+++ b/src/gateway/net/http_session.cc
@@ -365,7 +365,7 @@
 
 void HttpSession::Write(std::string data) {
   // An empty chunk would end the response.
-  if (data.empty()) {
+  if (data.empty() || is_head_request_) {
     return;
   }
   if (!chunked_) {
@@ -377,7 +377,7 @@
 }
 
 void HttpSession::EndStream() {
-  if (chunked_) {
+  if (chunked_ && !is_head_request_) {
     Enqueue(boost::beast::buffers_to_string(http::make_chunk_last()));
   }
   EndResponse();
--- a/tests/unit/gateway_http_test.cc
+++ b/tests/unit/gateway_http_test.cc
@@ -82,6 +82,24 @@
   EXPECT_EQ(CountOccurrences(received, "HTTP/1.1 200 OK"), 2U) << received;
 }
 
+TEST_F(ListenerTest, StreamInResponseToHeadHasNoBody) {
+  handler_.action = [](const HttpRequest&,
+                       std::shared_ptr<HttpResponder> responder) {
+    http::response_header<> head;
+    head.result(200);
+    responder->BeginStream(head);
+    responder->Write("id: 1\ndata: a\n\n");
+    responder->EndStream();
+  };
+  std::string received = SendAndReceive(
+      "HEAD /one HTTP/1.1\r\nHost: h\r\n\r\n"
+      "HEAD /two HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  EXPECT_EQ(CountOccurrences(received, "HTTP/1.1 200 OK"), 2U) << received;
+  size_t second = received.rfind("HTTP/1.1");
+  EXPECT_TRUE(received.substr(0, second).ends_with("\r\n\r\n")) << received;
+  EXPECT_EQ(CountOccurrences(received, "\r\n\r\n"), 2U) << received;
+}
+
 TEST_F(ListenerTest, TargetReachesTheHandlerAsSent) {
   std::string received = SendAndReceive(
       "GET /p?z=1&a=%20x&b=2&a=3&flag HTTP/1.1\r\nHost: h\r\n"
