Instances send each other what has changed in a configuration

Cause: each version went whole to about ten followers of each reader, and once more from each peer that told of it, over links of 10 Mbit/s.

Whoever still keeps that text sends ranges of it and what is new, checked by a hash; a misfit is followed by a poll for the whole. One pull at a time; what is heard of meanwhile waits. Polls say that differences are understood, so that instances of the version before get whole configurations.

--- a/src/gateway/control/serving_feed.cc
+++ b/src/gateway/control/serving_feed.cc
@@ -1,6 +1,7 @@
 // Holds and answers long polls. A poll is an object with the fields "c"
 // (revision of the configuration), "g" (version of the registry), "a" (age of
-// the view, in ms) and "w" (how long to hold it, in ms).
+// the view, in ms), "w" (how long to hold it, in ms) and "d" (present if the
+// requester accepts a difference to its configuration).
 
 #include "gateway/control/serving_feed.h"
 
@@ -24,12 +25,13 @@
   return Json{{"c", view.versions.config},
               {"g", view.versions.registry},
               {"a", ToMillis(view.age)},
-              {"w", max_wait.count()}};
+              {"w", max_wait.count()},
+              {"d", 1}};
 }
 
 ServingFeed::ServingFeed(
     std::function<ServingView()> view,
-    std::function<Json(const ServingVersions&)> make_update,
+    std::function<Json(const ServingRequester&)> make_update,
     std::function<bool()> is_current)
     : view_(std::move(view)),
       make_update_(std::move(make_update)),
@@ -47,20 +49,23 @@
 void ServingFeed::Poll(const Json& message, PeerResponder respond) {
   ServingVersions known{message.value("c", Revision{0}),
                         message.value("g", uint64_t{0})};
+  ServingRequester requester{known, message.contains("d")};
   Duration age = FromMillis(message.value("a", 0.0));
   Millis wait =
       std::clamp(Millis(message.value("w", int64_t{0})), Millis(0), kMaxWait);
   if (wait == Millis(0) || HasNewer(known) || ConfirmedLater(age) ||
       !is_current_() || pending_.size() >= kMaxPendingPolls) {
-    respond(make_update_(known));
+    respond(make_update_(requester));
     return;
   }
   pending_.push_back(
-      PendingPoll{known, SteadyClock::now() + wait, std::move(respond)});
+      PendingPoll{requester, SteadyClock::now() + wait, std::move(respond)});
 }
 
 void ServingFeed::OnChanged() {
-  RespondIf([this](const PendingPoll& poll) { return HasNewer(poll.known); });
+  RespondIf([this](const PendingPoll& poll) {
+    return HasNewer(poll.requester.known);
+  });
 }
 
 void ServingFeed::OnConfirmed() {
@@ -81,7 +86,7 @@
       ++it;
       continue;
     }
-    it->respond(make_update_(it->known));
+    it->respond(make_update_(it->requester));
     it = pending_.erase(it);
   }
 }
--- a/src/gateway/control/serving_feed.h
+++ b/src/gateway/control/serving_feed.h
@@ -20,6 +20,15 @@
   bool operator==(const ServingVersions&) const = default;
 };
 
+// An instance that polls.
+struct ServingRequester {
+  ServingVersions known;
+  // Whether it can read a difference to its configuration.
+  bool accepts_difference = false;
+
+  bool operator==(const ServingRequester&) const = default;
+};
+
 // What an instance knows, and how long ago the store confirmed it.
 struct ServingView {
   ServingVersions versions;
@@ -33,10 +42,10 @@
 class ServingFeed {
  public:
   // `view` returns what this instance has, `make_update` the response to an
-  // instance that has the given versions. While `is_current` returns false,
+  // instance that polls. While `is_current` returns false,
   // this instance may have missed changes, so no poll is held.
   ServingFeed(std::function<ServingView()> view,
-              std::function<Json(const ServingVersions&)> make_update,
+              std::function<Json(const ServingRequester&)> make_update,
               std::function<bool()> is_current);
 
   // Responds at once or later. Throws nlohmann::json::exception if `message` is
@@ -53,7 +62,7 @@
 
  private:
   struct PendingPoll {
-    ServingVersions known;
+    ServingRequester requester;
     TimePoint deadline;
     PeerResponder respond;
   };
@@ -65,7 +74,7 @@
   void RespondIf(const std::function<bool(const PendingPoll&)>& is_due);
 
   std::function<ServingView()> view_;
-  std::function<Json(const ServingVersions&)> make_update_;
+  std::function<Json(const ServingRequester&)> make_update_;
   std::function<bool()> is_current_;
   std::list<PendingPoll> pending_;
 };
--- a/src/gateway/control/serving_follower.cc
+++ b/src/gateway/control/serving_follower.cc
@@ -38,8 +38,22 @@
   }
 }
 
-void ServingFollower::PollOnce(const std::string& address) {
-  Poll(address, Millis(0), [](bool) {});
+void ServingFollower::PullConfig(const std::string& address,
+                                 Revision revision) {
+  if (pulling_) {
+    waiting_pull_ = WaitingPull{address, revision};
+    return;
+  }
+  pulling_ = true;
+  Poll(address, Millis(0), [this](bool) { OnPullEnd(); });
+}
+
+void ServingFollower::OnPullEnd() {
+  pulling_ = false;
+  auto next = std::exchange(waiting_pull_, std::nullopt);
+  if (next && next->revision > callbacks_.view().versions.config) {
+    PullConfig(next->address, next->revision);
+  }
 }
 
 std::string ServingFollower::NextTarget() {
--- a/src/gateway/control/serving_follower.h
+++ b/src/gateway/control/serving_follower.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,8 +42,10 @@
                   std::vector<std::string> others);
   // Starts or stops polling. A poll in progress still counts.
   void SetRunning(bool running);
-  // Sends one poll to `address`, which is not held there.
-  void PollOnce(const std::string& address);
+  // Asks the instance at `address`, which has configuration `revision`, for it.
+  // While such a poll is in progress, the next waits: two transfers of the same
+  // configuration would delay each other.
+  void PullConfig(const std::string& address, Revision revision);
 
  private:
   // Polls the next target.
@@ -51,6 +54,7 @@
   void Poll(const std::string& address,
             Millis wait,
             std::function<void(bool current)> on_end);
+  void OnPullEnd();
   // The address to poll next; empty if there is none.
   std::string NextTarget();
 
@@ -65,6 +69,13 @@
   size_t polls_without_confirmation_ = 0;
   bool running_ = false;
   bool busy_ = false;  // A poll or a delay is in progress.
+  // The last request to pull that had to wait for the one in progress.
+  struct WaitingPull {
+    std::string address;
+    Revision revision = 0;
+  };
+  std::optional<WaitingPull> waiting_pull_;
+  bool pulling_ = false;
   // Callbacks that come after the destruction find it expired.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/gateway/control/serving_state.cc
+++ b/src/gateway/control/serving_state.cc
@@ -1,8 +1,8 @@
 // Applies configurations and servers read from the store or from other
 // instances, and makes updates for other instances.
 //
-// An update is an object with the fields "a" (age of the view in ms), "k" and
-// "c" (key and value of the configuration row), "g" (version of the registry)
+// An update is an object with the fields "a" (age of the view in ms), those of
+// the configuration (config_history.h), "g" (version of the registry)
 // with "s" (all server rows) or "d" (changed rows; null: removed), and "l" (ids
 // of removed servers that may come back).
 
@@ -85,11 +85,13 @@
           }),
       role_(ReaderOptionsFrom(timeouts_), SteadyClock::now()),
       feed_([this] { return View(); },
-            [this](const ServingVersions& known) { return MakeUpdate(known); },
+            [this](const ServingRequester& requester) {
+              return MakeUpdate(requester);
+            },
             [this] { return IsCurrent(); }),
       follower_(io,
                 peers,
-                ServingFollower::Callbacks{[this] { return View(); },
+                ServingFollower::Callbacks{[this] { return ViewForPolls(); },
                                            [this](const Json& update) {
                                              return ApplyUpdate(update);
                                            }}) {
@@ -147,7 +149,7 @@
         .Field("active", static_cast<int64_t>(Versions().config))
         .Field("from", address);
   }
-  follower_.PollOnce(address);
+  follower_.PullConfig(address, revision);
 }
 
 void ServingState::ApplyConfigRow(const StoreRow& row,
@@ -167,7 +169,7 @@
     return;
   }
   config_ = std::make_shared<ServingConfig>(config);
-  config_row_ = row;
+  config_history_.Add(config.revision(), row);
   TimePoint now = SteadyClock::now();
   bool heard_before = heard_revision_ > active_revision;
   Duration heard_for = heard_before ? now - heard_at_ : Duration::zero();
@@ -330,12 +332,21 @@
   return ServingView{Versions(), ViewAge()};
 }
 
-Json ServingState::MakeUpdate(const ServingVersions& known) const {
+ServingView ServingState::ViewForPolls() const {
+  ServingView view = View();
+  if (needs_whole_config_) {
+    view.versions.config = 0;
+  }
+  return view;
+}
+
+Json ServingState::MakeUpdate(const ServingRequester& requester) const {
+  const ServingVersions& known = requester.known;
   Json update = Json::object();
   update["a"] = ToMillis(ViewAge());
   if (config_ && config_->revision() > known.config) {
-    update["k"] = config_row_.key;
-    update["c"] = config_row_.value.value_or("");
+    config_history_.WriteUpdate(known.config, requester.accepts_difference,
+                                update);
   }
   if (registry_.version() > known.registry) {
     AddServerUpdate(known, update);
@@ -364,6 +375,19 @@
   update["d"] = std::move(rows);
 }
 
+void ServingState::ApplyConfigUpdate(const Json& update) {
+  auto row = config_history_.ReadUpdate(update);
+  if (const auto* error = std::get_if<Error>(&row)) {
+    needs_whole_config_ = true;
+    LogEvent("config_difference_unusable", LogLevel::kWarning)
+        .Field("active", static_cast<int64_t>(Versions().config))
+        .Field("why", error->detail);
+    return;
+  }
+  needs_whole_config_ = false;
+  ApplyConfigRow(std::get<StoreRow>(row), "instance");
+}
+
 bool ServingState::ApplyUpdate(const Json& update) {
   TimePoint now = SteadyClock::now();
   auto age_ms = update.at("a").get<double>();
@@ -377,9 +401,8 @@
   if (role_.IsConfirmed(now)) {
     registry_.OnStoreSuccess(now);
   }
-  if (update.contains("c")) {
-    StoreRow row{DecodeText(update.at("k")), DecodeText(update.at("c"))};
-    ApplyConfigRow(row, "instance");
+  if (update.contains("k")) {
+    ApplyConfigUpdate(update);
   }
   if (update.contains("g") && update.at("g").is_number_unsigned()) {
     auto version = update.at("g").get<uint64_t>();
--- a/src/gateway/control/serving_state.h
+++ b/src/gateway/control/serving_state.h
@@ -19,6 +19,7 @@
 #include "base/metrics.h"
 #include "base/observers.h"
 #include "base/periodic_timer.h"
+#include "gateway/control/config_history.h"
 #include "gateway/control/serving_feed.h"
 #include "gateway/control/serving_follower.h"
 #include "gateway/control/store_client.h"
@@ -97,12 +98,15 @@
 
   ServingVersions Versions() const;
   ServingView View() const;
-  // What an instance that has `known` lacks, and the age of this view.
-  Json MakeUpdate(const ServingVersions& known) const;
+  // What the view is to say in polls of other instances.
+  ServingView ViewForPolls() const;
+  // What `requester` lacks, and the age of this view.
+  Json MakeUpdate(const ServingRequester& requester) const;
   void AddServerUpdate(const ServingVersions& known, Json& update) const;
   // Applies the update of another instance. Returns whether its view is
   // current.
   bool ApplyUpdate(const Json& update);
+  void ApplyConfigUpdate(const Json& update);
   // Whether this instance reads the store and the last call succeeded.
   bool StoreResponds() const;
   // Whether this instance reads the store and the store confirmed the view
@@ -128,8 +132,10 @@
   // late to arrive.
   Revision heard_revision_ = 0;
   TimePoint heard_at_{};
+  ConfigHistory config_history_;
+  // A difference did not fit: the whole configuration is asked for.
+  bool needs_whole_config_ = false;
   // Rows as read from the store, sent to other instances.
-  StoreRow config_row_;
   std::map<BackendId, std::string> server_rows_;
   // The last changes of server_rows_, oldest first, complete from
   // changes_start_ on.
--- a/tests/support/serving_instance.cc
+++ b/tests/support/serving_instance.cc
@@ -28,6 +28,32 @@
                 .dump());
 }
 
+void PutLargeConfig(FakeStore& store, Revision revision, int routes) {
+  auto list = nlohmann::json::array();
+  for (int i = 0; i < routes; ++i) {
+    bool changed = static_cast<Revision>(i) == revision;
+    list.push_back({{"Name", "route-" + std::to_string(i)},
+                    {"Host", "host.example"},
+                    {"Prefix", "/prefix-" + std::to_string(i) + "/"},
+                    {"Kind", "idempotent"},
+                    {"TimeoutMs", changed ? 2000 : 1000},
+                    {"TargetLatencyMs", 300},
+                    {"Priority", 1},
+                    {"Service", "s"},
+                    {"MaxAttempts", 2}});
+  }
+  store.Put("op", "config",
+            nlohmann::json{{"Version", revision},
+                           {"Routes", std::move(list)},
+                           {"Services",
+                            {{{"Name", "s"},
+                              {"HealthPath", "/healthz"},
+                              {"MaxConnections", 10},
+                              {"Protocol", "h1"},
+                              {"Tls", false}}}}}
+                .dump());
+}
+
 bool RunUntil(boost::asio::io_context& io,
               Duration timeout,
               const std::function<bool()>& done) {
--- a/tests/support/serving_instance.h
+++ b/tests/support/serving_instance.h
@@ -24,6 +24,9 @@
 void PutServer(FakeStore& store, const BackendId& id);
 // Writes a configuration without routes.
 void PutConfig(FakeStore& store, Revision revision);
+// Writes a configuration of `routes` routes, one of which differs from that of
+// the revision before.
+void PutLargeConfig(FakeStore& store, Revision revision, int routes);
 // Runs the event loop until `done`, for at most `timeout`. Returns `done()`.
 bool RunUntil(boost::asio::io_context& io,
               Duration timeout,
@@ -70,6 +73,8 @@
   double StoreCalls() const {
     return metrics_.CounterValue("mangoyoke_store_calls_total");
   }
+  // Bytes that it exchanged with instances that it asked.
+  uint64_t BytesFromPeers() const { return peers_.BytesTransferred(); }
   const MemberRecord& record() const { return record_; }
   FakeStoreEndpoint& endpoint() { return endpoint_; }
   StoreClient& client() { return client_; }
