A slow response of the store is read to its end, and not asked for again

The response holds each version since the one asked for, so that the next one was longer.

Fix: the timeout of a call to the store holds until the head; the body goes on as long as 8 KB come in 0.7 s, and one that trickles ends. After a body that was too slow the table is read, which returns what holds now.

Evidence: SlowStoreTest.BodyThatMakesProgressIsReadToItsEnd and ReadFollowsAWatchWhoseBodyWasTooSlow failed before and pass now; BodyThatTricklesTimesOut guards the other side.

--- a/src/gateway/control/store_client.cc
+++ b/src/gateway/control/store_client.cc
@@ -9,6 +9,8 @@
 namespace mangoyoke {
 namespace {
 
+// A response of hundreds of KB shares a slow link with others.
+constexpr Duration kBodyTimeout = Millis(700);
 constexpr unsigned kTooManyRequestsStatus = 429;
 constexpr unsigned kFirstServerErrorStatus = 500;
 
@@ -46,6 +48,7 @@
                     .first->second;
   ExchangeOptions options;
   options.timeout = timeout;
+  options.body_timeout = kBodyTimeout;
   call.Start(address_, std::move(request), "", options, std::move(callbacks));
   return id;
 }
--- a/src/gateway/control/store_client.h
+++ b/src/gateway/control/store_client.h
@@ -17,7 +17,7 @@
 namespace mangoyoke {
 
 // Sends calls to the store over a connection pool, without retries. A call
-// fails if no complete response came within its timeout, or if the status is
+// fails if no complete response came in time, or if the status is
 // 429 or 5xx: the store then refuses this instance. The last call decides
 // whether the store counts as reachable.
 class StoreClient {
@@ -31,9 +31,10 @@
               Metrics& metrics);
   ~StoreClient();
 
-  // Sends `request` once. `callback` is called once, unless the call is
-  // cancelled or the client is destroyed first. Returns the id of the call,
-  // which is never 0.
+  // Sends `request` once. `timeout` holds until the head of the response; its
+  // body may take as long as it makes progress. `callback` is called once,
+  // unless the call is cancelled or the client is destroyed first. Returns the
+  // id of the call, which is never 0.
   uint64_t Call(HttpRequest request, Duration timeout, Callback callback);
   // Ends the call; its callback is not called.
   void Cancel(uint64_t id) { calls_.erase(id); }
--- a/src/gateway/control/table_watcher.cc
+++ b/src/gateway/control/table_watcher.cc
@@ -193,7 +193,16 @@
   }
   const auto* changes = std::get_if<StoreRows>(&decoded);
   if (changes == nullptr) {
-    RetryAfterFailure("watch", outcome, [this] { Watch(); });
+    // The response holds each change since version_; the next one would hold
+    // more. A read gets only what holds now.
+    bool body_too_slow = outcome.timed_out && outcome.head;
+    RetryAfterFailure("watch", outcome, [this, body_too_slow] {
+      if (body_too_slow) {
+        ReadPage("");
+      } else {
+        Watch();
+      }
+    });
     return;
   }
   consecutive_failures_ = 0;
--- a/src/gateway/net/timed_exchange.cc
+++ b/src/gateway/net/timed_exchange.cc
@@ -26,6 +26,8 @@
   address_ = address;
   callbacks_ = std::move(callbacks);
   max_body_bytes_ = options.max_body_bytes;
+  body_timeout_ = options.body_timeout;
+  body_bytes_before_ = 0;
   connection_ = pool_.Take(address, request_id, options.avoid_stale);
   if (!connection_) {
     // The address cannot be parsed.
@@ -59,7 +61,16 @@
   });
 }
 
+bool TimedExchange::BodyProgresses() {
+  size_t before = std::exchange(body_bytes_before_, outcome_.body.size());
+  return outcome_.body.size() >= before + ExchangeOptions::kMinProgressBytes;
+}
+
 void TimedExchange::OnTimeout() {
+  if (body_timeout_ > Duration::zero() && BodyProgresses()) {
+    SetTimeout(body_timeout_);
+    return;
+  }
   if (callbacks_.on_timeout) {
     if (std::optional<Duration> wait = callbacks_.on_timeout()) {
       SetTimeout(*wait);
@@ -101,6 +112,10 @@
   // Such a body would be received in vain.
   if (!stream_body_ && body_length.value_or(0) > max_body_bytes_) {
     Abort();
+    return;
+  }
+  if (body_timeout_ > Duration::zero()) {
+    SetTimeout(body_timeout_);
   }
 }
 
--- a/src/gateway/net/timed_exchange.h
+++ b/src/gateway/net/timed_exchange.h
@@ -41,6 +41,10 @@
   // After this the exchange ends as kIncomplete with `timed_out` set, unless
   // on_timeout prolongs it.
   Duration timeout{};
+  // If not 0: from the head on, the exchange times out when less than
+  // kMinProgressBytes of the body came within this time, however long it takes.
+  Duration body_timeout{};
+  static constexpr size_t kMinProgressBytes = 8 << 10;
   size_t max_body_bytes = kMaxBodyBytes;
 };
 
@@ -87,6 +91,9 @@
  private:
   void StartTimer();
   void OnTimeout();
+  // Whether enough of the body came since the last call. Only for exchanges
+  // with a timeout of the body.
+  bool BodyProgresses();
   // Calls Abort after the current handler.
   void AbortLater();
 
@@ -98,7 +105,9 @@
   ExchangeCallbacks callbacks_;
   ExchangeOutcome outcome_;
   size_t max_body_bytes_ = 0;
-  bool stream_body_ = false;  // The body goes to on_data.
+  Duration body_timeout_{};
+  size_t body_bytes_before_ = 0;  // At the last check of progress.
+  bool stream_body_ = false;      // The body goes to on_data.
   bool paused_ = false;
   Duration timeout_{};  // Set last.
   TimePoint started_{};
--- a/tests/unit/large_configs_test.cc
+++ b/tests/unit/large_configs_test.cc
@@ -6,7 +6,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <mutex>
 
+#include "gateway/control/table_watcher.h"
+#include "tests/support/raw_server.h"
 #include "tests/support/serving_instance.h"
 
 namespace mangoyoke {
@@ -116,5 +119,84 @@
   }
 }
 
+// A store that answers with scripted bytes.
+class SlowStoreTest : public ::testing::Test {
+ protected:
+  static std::string Head(size_t length) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(length) +
+           "\r\n\r\n";
+  }
+  // Makes one call whose head has to come within `timeout`.
+  ExchangeOutcome Call(const RawServer& server, Duration timeout) {
+    StoreClient client(io_, server.address(), metrics_);
+    std::optional<ExchangeOutcome> outcome;
+    client.Call(HttpRequest(http::verb::get, "/", 11), timeout,
+                [&](ExchangeOutcome result) { outcome = std::move(result); });
+    RunUntil(io_, Seconds(5), [&] { return outcome.has_value(); });
+    return outcome ? std::move(*outcome) : ExchangeOutcome{};
+  }
+
+  boost::asio::io_context io_{1};
+  Metrics metrics_;
+};
+
+// It was given up after the time for its head, and asked for again.
+TEST_F(SlowStoreTest, BodyThatMakesProgressIsReadToItsEnd) {
+  constexpr size_t kBody = 160 << 10;
+  RawServer server(0, [](const RawRequest&) {
+    return RawAnswer{.bytes = Head(kBody),
+                     .without_end = std::string(16 << 10, 'x'),
+                     .pace = Millis(100)};
+  });
+  auto outcome = Call(server, Millis(300));
+  EXPECT_EQ(outcome.result, ExchangeResult::kComplete);
+  EXPECT_EQ(outcome.body.size(), kBody);
+}
+
+TEST_F(SlowStoreTest, BodyThatTricklesTimesOut) {
+  RawServer server(0, [](const RawRequest&) {
+    return RawAnswer{
+        .bytes = Head(1000), .without_end = "x", .pace = Millis(50)};
+  });
+  auto outcome = Call(server, Millis(300));
+  EXPECT_TRUE(outcome.timed_out);
+  EXPECT_LT(outcome.elapsed, Seconds(2));
+}
+
+// A watch returns every change since its version, so that a repeated one asks
+// for more than the one before, which was too much.
+TEST_F(SlowStoreTest, ReadFollowsAWatchWhoseBodyWasTooSlow) {
+  std::mutex mutex;
+  std::vector<std::string> calls;
+  auto push = [&](const std::string& call) {
+    std::lock_guard lock(mutex);
+    calls.push_back(call);
+  };
+  RawServer server(0, [&](const RawRequest& request) {
+    bool watch = request.head.starts_with("GET /v1/rows-feed");
+    push(watch ? "watch" : "read");
+    std::string rows = R"({"Rows":[],"SchemaVersion":5,"HasMore":false})";
+    return RawAnswer{.bytes = Head(watch ? 100'000 : rows.size()) + rows};
+  });
+  platform::PlatformStoreCodec codec;
+  StoreClient client(io_, server.address(), metrics_);
+  auto ignore = [](const std::vector<StoreRow>&, uint64_t) {};
+  TableWatcher watcher(
+      io_, client, codec,
+      TableWatcherOptions{codec.ConfigTable(), Millis(500), Millis(200),
+                          Millis(100), Duration::zero()},
+      ignore, ignore);
+  watcher.Start();
+  RunUntil(io_, Seconds(5), [&] {
+    std::lock_guard lock(mutex);
+    return calls.size() >= 3;
+  });
+  watcher.Stop();
+  std::lock_guard lock(mutex);
+  ASSERT_GE(calls.size(), 3U);
+  calls.resize(3);
+  EXPECT_EQ(calls, (std::vector<std::string>{"read", "watch", "read"}));
+}
+
 }  // namespace
 }  // namespace mangoyoke
