Store calls: the head of a response leaves the rest of its time to the body

SetTimeout at the head shortened what was left: a read has 1.5 s, and a small body on a link that loses packets may come late in it. SlowStoreTest passes.

--- a/src/gateway/net/timed_exchange.cc
+++ b/src/gateway/net/timed_exchange.cc
@@ -114,7 +114,9 @@
     Abort();
     return;
   }
-  if (body_timeout_ > Duration::zero()) {
+  // What is left for the head may be longer.
+  if (body_timeout_ > Duration::zero() &&
+      timer_.expiry() < SteadyClock::now() + body_timeout_) {
     SetTimeout(body_timeout_);
   }
 }
--- a/src/gateway/net/timed_exchange.h
+++ b/src/gateway/net/timed_exchange.h
@@ -41,8 +41,8 @@
   // After this the exchange ends as kIncomplete with `timed_out` set, unless
   // on_timeout prolongs it.
   Duration timeout{};
-  // If not 0: from the head on, the exchange times out when less than
-  // kMinProgressBytes of the body came within this time, however long it takes.
+  // If not 0: once the head has come, the exchange goes on after its timeout as
+  // long as at least kMinProgressBytes of the body come in each such time.
   Duration body_timeout{};
   static constexpr size_t kMinProgressBytes = 8 << 10;
   size_t max_body_bytes = kMaxBodyBytes;
