A prompt that callers send again and again was not blamed for its servers' ends

Cause: only parts of prompts are blamed, and only for ends of different prompts, so that what one request has besides does not look like the cause. Ends within 250 ms counted as one although the request had come to each server after the one before had ended.

Fix: a prompt that comes again after an end has a record of its own. Three ends of it are enough, and an end at a server that got it after the end before counts by itself. The verdict holds for the prompt; its parts are acquitted by it.

Evidence: PromptUnderWhichThreeServersEndedIsBlamed and EndsInQuickSuccessionBlame- ThePromptThatFollows failed before and pass now.

--- a/src/gateway/core/prompt_quarantine.cc
+++ b/src/gateway/core/prompt_quarantine.cc
@@ -12,10 +12,10 @@
 namespace {
 
 // Ends needed to blame a part with which no request was ever served, from this
-// many different prompts.
+// many different prompts; or a whole prompt.
 constexpr size_t kEndsOfNewPart = 3;
 constexpr size_t kDifferentPrompts = 2;
-// Ends needed for any other part, and for ends of one prompt alone.
+// Ends needed for any other part, and if all are of one prompt.
 constexpr size_t kEndsOfAnyPart = 5;
 // A part is blamed if its ends are less likely than this otherwise. Very small,
 // as there are many parts and each gets many chances.
@@ -44,25 +44,55 @@
 // Times that other instances report are late by the time that the report took.
 constexpr Duration kReportDelay = Seconds(1);
 
-// The number of moments in `times`, which are sorted.
-size_t CountMoments(const std::vector<TimePoint>& times) {
-  size_t moments = 0;
-  std::optional<TimePoint> last;
-  for (TimePoint time : times) {
-    if (!last || time - *last >= kSameMoment) {
-      ++moments;
-      last = time;
-    }
+// The records of whole prompts have ids that begin with this, which no part's
+// id does.
+constexpr std::string_view kWholePrefix = "whole ";
+
+bool IsWhole(const PromptPartId& id) {
+  return id.starts_with(kWholePrefix);
+}
+
+// The id of the whole prompt whose own part has this hash; nothing if the
+// caller does not name that part.
+std::optional<PromptPartId> WholeOf(uint64_t own_hash) {
+  if (own_hash == StableHash("")) {
+    return std::nullopt;
+  }
+  return std::string(kWholePrefix) + std::to_string(own_hash);
+}
+
+std::optional<PromptPartId> WholeOf(const PromptParts& prompt) {
+  return WholeOf(StableHash(prompt.own));
+}
+
+// What may be to blame for the end of a server under `prompt`.
+std::vector<PromptPartId> SuspectsOf(const PromptParts& prompt) {
+  std::vector<PromptPartId> suspects = prompt.shared;
+  if (auto whole = WholeOf(prompt)) {
+    suspects.push_back(*whole);
   }
-  return moments;
+  return suspects;
 }
 
-size_t CountMoments(const std::vector<ServerEnd>& ends) {
-  std::vector<TimePoint> times;
+// The ends in `ends`, sorted by time, that did not come at the moment of the
+// one before. Of a whole prompt (`is_whole`), an end at a server that got it
+// after the end before has a moment of its own: that server was sound then.
+std::vector<ServerEnd> SelectMoments(const std::vector<ServerEnd>& ends,
+                                     bool is_whole) {
+  std::vector<ServerEnd> selected;
+  std::optional<TimePoint> last;
   for (const ServerEnd& end : ends) {
-    times.push_back(end.at);
+    bool sent_later = is_whole && last && end.at - end.after > *last;
+    if (!last || end.at - *last >= kSameMoment || sent_later) {
+      selected.push_back(end);
+      last = end.at;
+    }
   }
-  return CountMoments(times);
+  return selected;
+}
+
+size_t CountMoments(const PartRecord& record) {
+  return SelectMoments(record.ends, IsWhole(record.part)).size();
 }
 
 size_t CountPrompts(const std::vector<ServerEnd>& ends) {
@@ -85,6 +115,15 @@
       ApplySuccess(*record, now);
     }
   }
+  if (records_.empty()) {
+    return;
+  }
+  // Most prompts come once, so that their successes are not remembered.
+  if (auto whole = WholeOf(prompt)) {
+    if (PartRecord* record = Find(*whole)) {
+      ApplySuccess(*record, now);
+    }
+  }
 }
 
 void PromptQuarantine::RecordServerEnd(std::string_view incarnation,
@@ -98,6 +137,38 @@
       AddEnd(*record, end);
     }
   }
+  auto whole = WholeOf(prompt);
+  if (!whole) {
+    return;
+  }
+  // Most prompts come once: there is a record only of those that came again.
+  PartRecord* record =
+      prompt.shared.empty() ? FindOrAdd(*whole, now) : Find(*whole);
+  if (record != nullptr) {
+    AddEnd(*record, end);
+  }
+}
+
+void PromptQuarantine::RecordRepeatedPrompt(const PartRecord& record,
+                                            uint64_t prompt) {
+  auto whole = WholeOf(prompt);
+  auto is_of_prompt = [prompt](const ServerEnd& end) {
+    return end.prompt == prompt;
+  };
+  auto ends =
+      std::count_if(record.ends.begin(), record.ends.end(), is_of_prompt);
+  if (IsWhole(record.part) || !whole || ends < 2) {
+    return;
+  }
+  PartRecord* whole_record = FindOrAdd(*whole, record.ends.back().at);
+  if (whole_record == nullptr) {
+    return;
+  }
+  for (const ServerEnd& end : record.ends) {
+    if (is_of_prompt(end)) {
+      AddEnd(*whole_record, end);
+    }
+  }
 }
 
 void PromptQuarantine::Merge(const PartRecord& other, TimePoint now) {
@@ -140,7 +211,7 @@
   if (records_.empty()) {
     return std::nullopt;
   }
-  for (const PromptPartId& part : prompt.shared) {
+  for (const PromptPartId& part : SuspectsOf(prompt)) {
     auto found = records_.find(part);
     if (found != records_.end() && found->second.verdict &&
         now < found->second.verdict->until) {
@@ -151,13 +222,13 @@
 }
 
 bool PromptQuarantine::IsSuspect(const PromptParts& prompt) const {
-  return std::any_of(prompt.shared.begin(), prompt.shared.end(),
-                     [this](const PromptPartId& part) {
-                       auto found = records_.find(part);
-                       return found != records_.end() &&
-                              !found->second.last_success &&
-                              CountMoments(found->second.ends) >= kSuspectEnds;
-                     });
+  auto suspects = SuspectsOf(prompt);
+  return std::any_of(
+      suspects.begin(), suspects.end(), [this](const PromptPartId& part) {
+        auto found = records_.find(part);
+        return found != records_.end() && !found->second.last_success &&
+               CountMoments(found->second) >= kSuspectEnds;
+      });
 }
 
 std::vector<PartRecord> PromptQuarantine::TakeChanges(size_t limit) {
@@ -232,6 +303,7 @@
       [](const ServerEnd& a, const ServerEnd& b) { return a.at < b.at; });
   record.ends.insert(place, end);
   changed_.insert(record.part);
+  RecordRepeatedPrompt(record, end.prompt);
 }
 
 void PromptQuarantine::ApplySuccess(PartRecord& record, TimePoint at) {
@@ -292,11 +364,15 @@
 
 std::vector<PromptQuarantine::Candidate> PromptQuarantine::Candidates(
     TimePoint now) {
+  std::set<uint64_t> explained_by_parts;
   std::set<uint64_t> explained;
   for (const auto& [part, record] : records_) {
     if (record.verdict) {
       for (const ServerEnd& end : record.ends) {
         explained.insert(end.server);
+        if (!IsWhole(part)) {
+          explained_by_parts.insert(end.server);
+        }
       }
     }
   }
@@ -309,11 +385,14 @@
     }
     Candidate candidate{&record, record.ends, 0};
     if (!record.verdict) {
-      std::erase_if(candidate.ends, [&explained](const ServerEnd& end) {
-        return explained.contains(end.server);
+      // What other prompts with the part did is not explained by one prompt.
+      bool one_prompt = CountPrompts(record.ends) < kDifferentPrompts;
+      const auto& others = one_prompt ? explained : explained_by_parts;
+      std::erase_if(candidate.ends, [&others](const ServerEnd& end) {
+        return others.contains(end.server);
       });
     }
-    candidate.moments = CountMoments(candidate.ends);
+    candidate.moments = SelectMoments(candidate.ends, IsWhole(part)).size();
     if (candidate.moments > 0) {
       candidates.push_back(std::move(candidate));
     }
@@ -332,12 +411,13 @@
   if (!OthersServedSince(served_before ? first : first - kOthersServedBefore)) {
     return false;
   }
-  double chance = ChanceOf(candidate.ends);
+  bool is_whole = IsWhole(candidate.record->part);
+  double chance = ChanceOf(candidate.ends, is_whole);
   if (candidate.moments >= kEndsOfAnyPart && chance <= kMaxChanceOfAnyPart) {
     return true;
   }
   return !served_before && candidate.moments >= kEndsOfNewPart &&
-         CountPrompts(candidate.ends) >= kDifferentPrompts &&
+         (is_whole || CountPrompts(candidate.ends) >= kDifferentPrompts) &&
          chance <= kMaxChanceOfNewPart;
 }
 
@@ -361,16 +441,13 @@
                        .decided_here = true});
 }
 
-double PromptQuarantine::ChanceOf(const std::vector<ServerEnd>& ends) const {
+double PromptQuarantine::ChanceOf(const std::vector<ServerEnd>& ends,
+                                  bool is_whole) const {
   double rate = CutOffRate(ends);
   double chance = 1;
-  std::optional<TimePoint> last;
-  for (const ServerEnd& end : ends) {
-    if (!last || end.at - *last >= kSameMoment) {
-      Duration after = std::max<Duration>(end.after, kShortestAfter);
-      chance *= 1 - std::exp(-rate * ToMillis(after));
-      last = end.at;
-    }
+  for (const ServerEnd& end : SelectMoments(ends, is_whole)) {
+    Duration after = std::max<Duration>(end.after, kShortestAfter);
+    chance *= 1 - std::exp(-rate * ToMillis(after));
   }
   return chance;
 }
--- a/src/gateway/core/prompt_quarantine.h
+++ b/src/gateway/core/prompt_quarantine.h
@@ -14,6 +14,8 @@
 // - A success with a part voids all ends before it.
 // - The ends must come from prompts that differ in their own part, so that what
 //   one request has besides the part does not look like the cause.
+// - A prompt that comes again after an end is looked at as a whole, too. Its
+//   parts are acquitted by the verdict on the whole, which explains their ends.
 // - The ends must be unlikely for a part that is not to blame. An end counts
 //   the more, the sooner it came after the request did, and the fewer requests
 //   are cut off at other ends.
@@ -147,6 +149,9 @@
   PartRecord* FindOrAdd(const PromptPartId& part, TimePoint now);
   PartRecord* Find(const PromptPartId& part);
   void AddEnd(PartRecord& record, const ServerEnd& end);
+  // Keeps the ends of `prompt` (ServerEnd::prompt) in `record`, which is one of
+  // a part, in a record of the whole prompt as well, if there are several.
+  void RecordRepeatedPrompt(const PartRecord& record, uint64_t prompt);
   // A success with the part at `at`: voids older ends and verdicts.
   void ApplySuccess(PartRecord& record, TimePoint at);
   void RememberSuccess(const PromptPartId& part, TimePoint at);
@@ -156,7 +161,7 @@
   bool IsToBlame(const Candidate& candidate) const;
   void PassVerdict(const Candidate& candidate, TimePoint now);
   // How likely it is that a part which is not to blame was present at `ends`.
-  double ChanceOf(const std::vector<ServerEnd>& ends) const;
+  double ChanceOf(const std::vector<ServerEnd>& ends, bool is_whole) const;
   // How often a request of this instance is cut off by another end than `ends`,
   // per millisecond that it is in progress.
   double CutOffRate(const std::vector<ServerEnd>& ends) const;
--- a/tests/unit/prompt_quarantine_test.cc
+++ b/tests/unit/prompt_quarantine_test.cc
@@ -94,6 +94,62 @@
   EXPECT_FALSE(Quarantined("mine"));
 }
 
+// The day `deadly`: one prompt that callers sent again and again ended seven
+// servers, as only parts of different prompts were blamed.
+TEST_F(PromptQuarantineTest, PromptUnderWhichThreeServersEndedIsBlamed) {
+  PromptParts deadly = Prompt({"feed", "page"}, "own");
+  ServeOthers();
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_FALSE(quarantine_.Find(deadly, now_));
+    End(deadly);
+  }
+  EXPECT_TRUE(quarantine_.Find(deadly, now_));
+  EXPECT_FALSE(quarantine_.Find(Prompt({"feed", "page"}, "other"), now_));
+  EXPECT_FALSE(Quarantined("page"));
+}
+
+// One request that was resumed at the next server each time. Each server got it
+// when the one before had ended.
+TEST_F(PromptQuarantineTest, EndsInQuickSuccessionBlameThePromptThatFollows) {
+  PromptParts deadly = Prompt({"page"}, "own");
+  ServeOthers();
+  for (const char* server : {"a", "b", "c"}) {
+    now_ += kShort + Millis(10);
+    quarantine_.RecordServerEnd(server, deadly, kShort, now_);
+  }
+  quarantine_.Decide(now_);
+  EXPECT_TRUE(quarantine_.Find(deadly, now_));
+}
+
+TEST_F(PromptQuarantineTest, ServersThatEndTogetherBlameNoPrompt) {
+  PromptParts prompt = Prompt({"page"}, "own");
+  ServeOthers();
+  for (const char* server : {"a", "b", "c", "d"}) {
+    now_ += Millis(20);
+    quarantine_.RecordServerEnd(server, prompt, kShort, now_);
+  }
+  quarantine_.Decide(now_);
+  EXPECT_FALSE(quarantine_.Find(prompt, now_));
+}
+
+TEST_F(PromptQuarantineTest, PromptsWithoutAnOwnPartAreNotTakenForOne) {
+  ServeOthers();
+  for (int i = 0; i < 4; ++i) {
+    End(Prompt({}, ""));
+  }
+  EXPECT_FALSE(quarantine_.Find(Prompt({}, ""), now_));
+}
+
+TEST_F(PromptQuarantineTest, PromptThatIsServedIsReleased) {
+  PromptParts prompt = Prompt({"page"}, "own");
+  ServeOthers();
+  for (int i = 0; i < 3; ++i) {
+    End(prompt);
+  }
+  Serve(prompt);
+  EXPECT_FALSE(quarantine_.Find(prompt, now_));
+}
+
 TEST_F(PromptQuarantineTest, NothingIsBlamedWhileNothingIsServed) {
   for (int i = 0; i < 10; ++i) {
     End(Prompt({"feed", "part"}, std::to_string(i)));
