--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -44,6 +44,7 @@
       PlayLeaving();
     }
     clients_.Join();
+    clients_.WriteTo(record_, lab_.ServerEvents());
     return Judge();
   }
 
--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -57,6 +57,7 @@
     lab.StartServer("assistant", options, lab.PortOfServer(killed));
   }
   clients.Join();
+  clients.WriteTo(record, lab.ServerEvents());
 
   std::set<std::string> run_at_killed;
   for (const ServerEvent& event : lab.ServerEvents()) {
--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -42,6 +42,7 @@
     clients.Send(0, request, "bookings");
   }
   clients.Join();
+  clients.WriteTo(record, lab.ServerEvents());
 
   std::set<std::string> spoilt;
   for (const ServerEvent& event : lab.ServerEvents()) {
--- a/review/standins-2/lab.cc
+++ b/review/standins-2/lab.cc
@@ -463,6 +463,30 @@
   return answers_[group];
 }
 
+void Clients::WriteTo(Record& record, const std::vector<ServerEvent>& events) {
+  std::map<std::string, std::string> run_at;
+  for (const ServerEvent& event : events) {
+    if (event.what == "run") {
+      run_at[event.request] +=
+          " " + event.server + " at " + std::to_string(event.time_ms);
+    }
+  }
+  std::lock_guard lock(mutex_);
+  for (const auto& [group, answers] : answers_) {
+    for (const Answer& answer : answers) {
+      auto run = run_at.find(answer.id);
+      record.Line(group + " " + answer.id + " sent at " +
+                  std::to_string(answer.sent_ms) + " to gateway " +
+                  std::to_string(answer.gateway + 1) + ", run by" +
+                  (run == run_at.end() ? " none" : run->second) +
+                  ", answered at " + std::to_string(answer.ended_ms) +
+                  ": status " + std::to_string(answer.status) + ", stamp '" +
+                  answer.stamp + "', " + std::to_string(answer.body.size()) +
+                  " bytes, " + (answer.complete ? "complete" : "cut off"));
+    }
+  }
+}
+
 int RunCase(int argc,
             char** argv,
             const std::function<int(Record& record)>& play) {
--- a/review/standins-2/lab.h
+++ b/review/standins-2/lab.h
@@ -161,6 +161,9 @@
   void Join();
   // Answers to the requests of a group, in the order of their end.
   std::vector<Answer> Answers(const std::string& group);
+  // Writes a line for each request: when it was sent, where it ran, and what
+  // came back.
+  void WriteTo(Record& record, const std::vector<ServerEvent>& events);
 
  private:
   Lab& lab_;
