--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -17,8 +17,8 @@
 constexpr int kServers = 3;
 // One for each round: what a gateway does when the store is back depends on
 // when it tried last.
-constexpr int64_t kOutagesMs[] = {8300, 8400, 8500, 8600, 8350};
-constexpr int64_t kCalmMs = 6000;  // Twice ContactMs.
+constexpr int64_t kOutagesMs[] = {5500, 5600, 5400, 5700, 5500, 5600, 5400};
+constexpr int64_t kCalmMs = 4000;  // Longer than ContactMs.
 constexpr int64_t kFreezeMs = 4000;
 // A leaving server goes on for DrainMs after its entry was removed, and a
 // little longer.
@@ -83,11 +83,11 @@
   void PlayOutage(int64_t outage_ms) {
     if (Trouble()) {
       record_.Line("the store is down");
-      lab_.store().SetSilent(true);
+      lab_.store().SetBusy(true);
     }
     SendFor(outage_ms);
     if (Trouble()) {
-      lab_.store().SetSilent(false);
+      lab_.store().SetBusy(false);
       record_.Line("the store is back");
     }
     SendFor(kCalmMs);
--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -12,21 +12,29 @@
 
 constexpr int kServers = 4;
 constexpr int kFaulty = 2;
-// One answer in 40 of a faulty server.
-constexpr const char* kSpoilEvery = "40";
-constexpr int kBookings = 1600;
-constexpr int64_t kSendEveryMs = 15;
+// One answer in 20 of a faulty server, for 5 s, and again 6 s later.
+constexpr const char* kSpoilEvery = "20";
+constexpr int64_t kSpoilMs = 5000;
+constexpr int64_t kSpoilAtMs[] = {5000, 16'000};
+constexpr int kBookings = 2800;
+constexpr int64_t kSendEveryMs = 8;
 
 int Play(Record& record) {
   Lab lab(1);
   lab.PutConfig(nlohmann::json::array(
       {Lab::Route("booking", "/booking/", "non_idempotent", "bookings")}));
+  std::string times;
+  for (int64_t at_ms : kSpoilAtMs) {
+    times += (times.empty() ? "" : ",") + std::to_string(NowMs() + at_ms) +
+             "," + std::to_string(NowMs() + at_ms + kSpoilMs);
+  }
   for (int i = 0; i < kServers; ++i) {
     std::vector<std::string> options{
         "--framing", "length", "--work-ms", "60", "--answers-per-connection",
         "5"};
     if (Trouble() && i < kFaulty) {
-      options.insert(options.end(), {"--spoil-every", kSpoilEvery});
+      options.insert(options.end(),
+                     {"--spoil-every", kSpoilEvery, "--spoil-times", times});
     }
     lab.StartServer("bookings", options);
   }
--- a/review/standins-2/backend_server.cc
+++ b/review/standins-2/backend_server.cc
@@ -10,7 +10,10 @@
 //   --work-ms MS             until an answer begins
 //   --deadly PART            ends by itself as it begins to answer a prompt in
 //                            which PART is a part, but not the last one
-//   --spoil-every N          each Nth answer is no response of this protocol
+//   --spoil-every N          each Nth answer is no response of this protocol,
+//   --spoil-times T,T,T,T    from the first time to the second, from the third
+//   to
+//                            the fourth, in ms of the steady clock
 //   --answers-per-connection N   says "Connection: close" in the Nth answer
 
 #include <fcntl.h>
@@ -22,6 +25,7 @@
 #include <map>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "net.h"
 
@@ -102,7 +106,7 @@
       std::_Exit(EXIT_FAILURE);
     }
     int spoil_every = Number("--spoil-every", 0);
-    if (spoil_every > 0 && ++answers_ % spoil_every == 0) {
+    if (spoil_every > 0 && IsSpoilTime() && ++answers_ % spoil_every == 0) {
       return Spoil(connection, head);
     }
     bool close = last || options_["--framing"] == "none";
@@ -158,6 +162,17 @@
         std::to_string(page.size()) + "\r\n\r\n" + page);
   }
 
+  bool IsSpoilTime() {
+    std::vector<std::string> times = Split(options_["--spoil-times"], ',');
+    for (size_t i = 0; i + 1 < times.size(); i += 2) {
+      if (NowMs() >= std::stoll(times[i]) &&
+          NowMs() < std::stoll(times[i + 1])) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   bool IsDeadly(const Head& head) const {
     auto deadly = options_.find("--deadly");
     auto parts = Split(head.Field("x-mangoyoke-prompt-prefix"), ',');
--- a/review/standins-2/store.cc
+++ b/review/standins-2/store.cc
@@ -73,9 +73,9 @@
   return NowMs();
 }
 
-void Store::SetSilent(bool silent) {
+void Store::SetBusy(bool busy) {
   std::lock_guard lock(mutex_);
-  silent_ = silent;
+  busy_ = busy;
   changed_.notify_all();
 }
 
@@ -93,26 +93,21 @@
 void Store::ServeConnection(Socket connection) {
   std::string buffer;
   while (auto head = ReadHead(connection, buffer)) {
-    auto response = Respond(head->Word(1));
-    if (!response) {
-      // A connection on which a response is lost delivers nothing further.
-      while (connection.Read(buffer) > 0) {
-      }
-      return;
-    }
+    std::string response = Respond(head->Word(1));
     SleepMs(kCallMs);
-    if (!connection.Write(*response)) {
+    if (!connection.Write(response)) {
       return;
     }
   }
 }
 
-std::optional<std::string> Store::Respond(const std::string& target) {
+std::string Store::Respond(const std::string& target) {
   auto query = ReadQuery(target);
   std::string path = target.substr(0, target.find('?'));
   std::unique_lock lock(mutex_);
-  if (silent_) {
-    return std::nullopt;
+  const std::string unavailable = MakeResponse("503 Service Unavailable", "{}");
+  if (busy_) {
+    return unavailable;
   }
   if (path == "/v1/rows-get") {
     return MakeResponse("200 OK", Rows(query["Table"], 0, false));
@@ -120,11 +115,10 @@
   if (path == "/v1/rows-feed") {
     uint64_t after = std::stoull(query["after"]);
     auto wait = std::chrono::milliseconds(std::stoll(query["WaitMs"]));
-    changed_.wait_for(lock, wait, [&] {
-      return silent_ || HasChanges(query["Table"], after);
-    });
-    if (silent_) {
-      return std::nullopt;
+    changed_.wait_for(
+        lock, wait, [&] { return busy_ || HasChanges(query["Table"], after); });
+    if (busy_) {
+      return unavailable;
     }
     return MakeResponse("200 OK", Rows(query["Table"], after, true));
   }
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -29,8 +29,8 @@
   int64_t Put(const std::string& table,
               const std::string& key,
               std::optional<std::string> value);
-  // While set, calls are read and never answered: the store is down, silently.
-  void SetSilent(bool silent);
+  // While set, all calls get 503: the store is down and says so.
+  void SetBusy(bool busy);
 
  private:
   struct Row {
@@ -40,15 +40,14 @@
 
   void Serve();
   void ServeConnection(Socket connection);
-  // The response to a call; nothing if none is to be sent.
-  std::optional<std::string> Respond(const std::string& target);
+  std::string Respond(const std::string& target);
   std::string Rows(const std::string& table, uint64_t after, bool changes);
   bool HasChanges(const std::string& table, uint64_t after) const;
 
   Socket listener_;
   std::mutex mutex_;
   std::condition_variable changed_;
-  bool silent_ = false;
+  bool busy_ = false;
   uint64_t version_ = 1;
   std::map<std::string, std::map<std::string, Row>> tables_;
 };
