--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -1,4 +1,4 @@
-// Case 10: the store was down for a while, and is sound again for long. Then
+// Case 10: the store was down for a while, and is sound again. Then
 // one gateway that reads the store freezes, and at that moment a server leaves
 // whose entry is removed without a notice before. The other gateways, which are
 // in touch, must send it nothing later than DrainMs after the removal.
