A response that ends with its connection is complete only if its server lives

Cause: a killed process ends its connections in order. HttpConnection reported that as a complete response; whether the server lived was asked only for streams, only for the quarantine of prompts, and after the caller's response had ended.

Change: the connection reports kEndedByClose, and ServerAttempt, through which all requests to backend servers go, asks ServerEndDetector before it reports the end. A response that ends during a check of its server gets a check begun after its end.

The tests of connections that expected such a response to be complete now expect kEndedByClose.

--- a/src/gateway/control/store_client.cc
+++ b/src/gateway/control/store_client.cc
@@ -57,6 +57,10 @@
                             ExchangeOutcome outcome,
                             const Callback& callback) {
   boost::asio::post(io_, [this, id] { calls_.erase(id); });
+  if (outcome.result == ExchangeResult::kEndedByClose) {
+    // Whoever decodes the body sees whether it is whole.
+    outcome.result = ExchangeResult::kComplete;
+  }
   TimePoint now = SteadyClock::now();
   bool succeeded = CallSucceeded(outcome);
   bool changed = SetReachable(succeeded, outcome);
--- a/src/gateway/net/http_connection.cc
+++ b/src/gateway/net/http_connection.cc
@@ -302,7 +302,7 @@
   keep_alive_ = false;
   if (orderly && head_done_ && !skip_response_ &&
       reader_->EndsWithConnection()) {
-    Finish(ExchangeResult::kComplete);
+    Finish(ExchangeResult::kEndedByClose);
     return;
   }
   // Not kNotSent: bytes of the request may have been sent although the write
--- a/src/gateway/net/http_connection.h
+++ b/src/gateway/net/http_connection.h
@@ -35,6 +35,10 @@
 enum class ExchangeResult {
   // The complete response was received.
   kComplete,
+  // The response has neither a length nor chunks, and its connection ended in
+  // order. That is how such a response ends; the connections of a server that
+  // was killed end in the same way.
+  kEndedByClose,
   // No byte of the request was sent, so the server cannot have executed it.
   kNotSent,
   // The request may have been sent, at least in part; the response is missing
--- a/src/gateway/traffic/engine_crash.cc
+++ b/src/gateway/traffic/engine_crash.cc
@@ -20,32 +20,33 @@
 
 void EngineRequest::CheckBrokenServer(const BackendServer& server,
                                       const AttemptOutcome& outcome) {
-  // The end of an unframed stream may be the end of its server.
-  bool unframed_stream = outcome.result == ExchangeResult::kComplete &&
-                         outcome.response.event_stream && !outcome.Framed();
-  if (!outcome.BrokenOff() && !unframed_stream) {
+  if (!outcome.BrokenOff()) {
     return;
   }
   // The request may have ended before the check has.
-  context_.server_ends.Check(
-      server,
-      [&context = context_, server, id = input_.caller_request.id,
-       prompt = input_.caller_request.prompt_parts, elapsed = outcome.elapsed,
-       broken_at = SteadyClock::now()](ServerFate fate) {
-        LogEvent("response_broken_off", LogLevel::kWarning)
-            .Field("request", id)
-            .Field("server", server.id)
-            .Field("fate", ServerFateName(fate))
-            .Field("stage", StageName(server.stage))
-            .Field("ms", ToMillis(elapsed))
-            .Field("prompt_parts", JoinIds(prompt.shared))
-            .Field("own_part", prompt.own);
-        if (fate == ServerFate::kEnded) {
-          context.quarantine.RecordServerEnd(IncarnationOf(server), prompt,
-                                             elapsed, broken_at);
-          DecideQuarantine(context);
-        }
-      });
+  auto record = [&context = context_, server, id = input_.caller_request.id,
+                 prompt = input_.caller_request.prompt_parts,
+                 elapsed = outcome.elapsed,
+                 broken_at = SteadyClock::now()](ServerFate fate) {
+    LogEvent("response_broken_off", LogLevel::kWarning)
+        .Field("request", id)
+        .Field("server", server.id)
+        .Field("fate", ServerFateName(fate))
+        .Field("stage", StageName(server.stage))
+        .Field("ms", ToMillis(elapsed))
+        .Field("prompt_parts", JoinIds(prompt.shared))
+        .Field("own_part", prompt.own);
+    if (fate == ServerFate::kEnded) {
+      context.quarantine.RecordServerEnd(IncarnationOf(server), prompt, elapsed,
+                                         broken_at);
+      DecideQuarantine(context);
+    }
+  };
+  if (outcome.server_fate) {
+    record(*outcome.server_fate);
+  } else {
+    context_.server_ends.Check(server, std::move(record));
+  }
 }
 
 void EngineRequest::RecordServed(Duration time) {
--- a/src/gateway/traffic/server_attempt.cc
+++ b/src/gateway/traffic/server_attempt.cc
@@ -37,18 +37,61 @@
   };
   exchange_callbacks.on_data = std::move(callbacks.on_data);
   exchange_callbacks.on_timeout = std::move(callbacks.on_timeout);
-  exchange_callbacks.on_end = [this, on_end = std::move(callbacks.on_end)](
-                                  ExchangeOutcome exchange_outcome) {
-    context_.load.Release(charge_id_);
-    AttemptOutcome outcome;
-    static_cast<ExchangeOutcome&>(outcome) = std::move(exchange_outcome);
-    outcome.response = response_;
-    on_end(std::move(outcome));
+  exchange_callbacks.on_end = [this](ExchangeOutcome outcome) {
+    OnExchangeEnd(std::move(outcome));
   };
+  on_end_ = std::move(callbacks.on_end);
   exchange_.Start(server_.address, std::move(request), request_id, options,
                   std::move(exchange_callbacks));
 }
 
+void ServerAttempt::OnExchangeEnd(ExchangeOutcome exchange_outcome) {
+  context_.load.Release(charge_id_);
+  AttemptOutcome outcome;
+  static_cast<ExchangeOutcome&>(outcome) = std::move(exchange_outcome);
+  outcome.response = response_;
+  if (outcome.result != ExchangeResult::kEndedByClose) {
+    End(std::move(outcome));
+    return;
+  }
+  unconfirmed_ = std::move(outcome);
+  CheckServer();
+}
+
+void ServerAttempt::CheckServer() {
+  context_.server_ends.Check(
+      server_, [this, alive = std::weak_ptr<bool>(alive_)](ServerFate fate) {
+        if (!alive.expired() && unconfirmed_) {
+          OnServerChecked(fate);
+        }
+      });
+}
+
+void ServerAttempt::OnServerChecked(ServerFate fate) {
+  AttemptOutcome outcome = *std::exchange(unconfirmed_, std::nullopt);
+  outcome.server_fate = fate;
+  outcome.result = fate == ServerFate::kAlive ? ExchangeResult::kComplete
+                                              : ExchangeResult::kIncomplete;
+  End(std::move(outcome));
+}
+
+void ServerAttempt::End(AttemptOutcome outcome) {
+  // The callback may destroy this object.
+  auto on_end = std::move(on_end_);
+  on_end(std::move(outcome));
+}
+
+void ServerAttempt::Abort() {
+  if (!unconfirmed_) {
+    exchange_.Abort();
+    return;
+  }
+  AttemptOutcome outcome = *std::exchange(unconfirmed_, std::nullopt);
+  outcome.result = ExchangeResult::kIncomplete;
+  outcome.aborted = true;
+  End(std::move(outcome));
+}
+
 void ServerAttempt::DropUnconfirmedRefusal(const std::string& request_id) {
   if (!std::exchange(response_.not_executed, false)) {
     return;
--- a/src/gateway/traffic/server_attempt.h
+++ b/src/gateway/traffic/server_attempt.h
@@ -1,11 +1,13 @@
 // One attempt: a request sent to one backend server, with its timeout and its
-// load charge.
+// load charge. A response that ended with its connection is complete only if
+// its server lives on.
 
 #ifndef MANGOYOKE_GATEWAY_TRAFFIC_SERVER_ATTEMPT_H_
 #define MANGOYOKE_GATEWAY_TRAFFIC_SERVER_ATTEMPT_H_
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "gateway/net/timed_exchange.h"
@@ -15,6 +17,9 @@
 
 struct AttemptOutcome : ExchangeOutcome {
   BackendResponse response;  // From the response head, if one arrived.
+  // What became of the server, if the response ended with its connection. Such
+  // a response is kComplete if the server lives, else kIncomplete.
+  std::optional<ServerFate> server_fate;
 
   // Whether the request was certainly not executed and will not be: it was not
   // sent, or the server says so.
@@ -22,12 +27,8 @@
     return result == ExchangeResult::kNotSent ||
            (head && response.not_executed);
   }
-  // Whether the end of the body is marked. Else it ends with the connection.
-  // Requires the head.
-  bool Framed() const {
-    return head->count(http::field::content_length) > 0 ||
-           head->count(http::field::transfer_encoding) > 0;
-  }
+  // Whether the body has a length or chunks. Else it ended with the connection.
+  bool Framed() const { return !server_fate; }
   // Whether the server, or the network, broke the response off.
   bool BrokenOff() const {
     return result == ExchangeResult::kIncomplete && !timed_out && !aborted &&
@@ -67,7 +68,7 @@
   void SetTimeout(Duration timeout) { exchange_.SetTimeout(timeout); }
   // Ends the attempt as kIncomplete: what the server sends is no response.
   // Calls on_end before it returns.
-  void Abort() { exchange_.Abort(); }
+  void Abort();
   // Replaces the load charge of the attempt.
   void SetCharge(const LoadCharge& charge);
   // Stops or resumes reading the response (backpressure).
@@ -79,12 +80,23 @@
   void DropUnconfirmedRefusal(const std::string& request_id);
   // Records and counts what the response head says of the server itself.
   void RecordNotice(const std::string& request_id);
+  void OnExchangeEnd(ExchangeOutcome exchange_outcome);
+  // Finds out whether the server has ended, and ends the attempt with that.
+  void CheckServer();
+  void OnServerChecked(ServerFate fate);
+  // Calls on_end.
+  void End(AttemptOutcome outcome);
 
   TrafficContext& context_;
   BackendServer server_;
   uint64_t charge_id_;
   TimedExchange exchange_;
   BackendResponse response_;
+  std::function<void(AttemptOutcome)> on_end_;
+  // The outcome while the server is checked.
+  std::optional<AttemptOutcome> unconfirmed_;
+  // Expires with this object; a check that ends later has no effect.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace mangoyoke
--- a/src/gateway/traffic/server_end_detector.cc
+++ b/src/gateway/traffic/server_end_detector.cc
@@ -41,11 +41,13 @@
         socket_(detector.io_),
         timer_(detector.io_) {}
 
+  // A connection that was begun before tells nothing about the time since.
   void AddCallback(Callback callback) {
-    callbacks_.push_back(std::move(callback));
+    (started_ ? late_callbacks_ : callbacks_).push_back(std::move(callback));
   }
 
   void Start() {
+    started_ = true;
     if (detector_.HasSuccessor(server_)) {
       EndLater(ServerFate::kEnded);
       return;
@@ -68,6 +70,9 @@
   }
 
   std::vector<Callback> TakeCallbacks() { return std::move(callbacks_); }
+  std::vector<Callback> TakeLateCallbacks() {
+    return std::move(late_callbacks_);
+  }
 
  private:
   void Connect() {
@@ -107,7 +112,7 @@
 
   void End(ServerFate fate) {
     Cancel();
-    detector_.Finish(IncarnationOf(server_), fate);
+    detector_.Finish(server_, fate);
   }
 
   void After(Duration time, std::function<void()> action) {
@@ -127,6 +132,8 @@
   Tcp::socket socket_;
   boost::asio::steady_timer timer_;
   std::vector<Callback> callbacks_;
+  std::vector<Callback> late_callbacks_;  // Added after the start.
+  bool started_ = false;
   bool refused_ = false;  // Once.
   bool done_ = false;
 };
@@ -162,14 +169,22 @@
   });
 }
 
-void ServerEndDetector::Finish(const std::string& incarnation,
-                               ServerFate fate) {
+void ServerEndDetector::Finish(const BackendServer& server, ServerFate fate) {
+  std::string incarnation = IncarnationOf(server);
   auto check = checks_.extract(incarnation);
   std::vector<Callback> callbacks = check.mapped()->TakeCallbacks();
-  LogEvent("server_checked", LogLevel::kWarning)
+  for (Callback& callback : check.mapped()->TakeLateCallbacks()) {
+    if (fate == ServerFate::kEnded) {
+      callbacks.push_back(std::move(callback));
+    } else {
+      Check(server, std::move(callback));
+    }
+  }
+  bool alive = fate == ServerFate::kAlive;
+  LogEvent("server_checked", alive ? LogLevel::kInfo : LogLevel::kWarning)
       .Field("server", incarnation)
       .Field("fate", ServerFateName(fate))
-      .Field("broken_responses", static_cast<int64_t>(callbacks.size()));
+      .Field("responses", static_cast<int64_t>(callbacks.size()));
   for (const Callback& callback : callbacks) {
     RunGuarded("server_check", [&] { callback(fate); });
   }
--- a/src/gateway/traffic/server_end_detector.h
+++ b/src/gateway/traffic/server_end_detector.h
@@ -40,7 +40,8 @@
 
   // Checks whether this incarnation of `server` has ended: looks for a
   // successor in the registry, then connects to its address. Calls `callback`
-  // once, later. Checks of one server at the same time share a connection.
+  // once, later. Checks of one server at the same time share a connection that
+  // was begun after the last of them was asked for.
   void Check(const BackendServer& server, Callback callback);
 
  private:
@@ -48,7 +49,7 @@
 
   // Whether the registry has a successor under the server's id or address.
   bool HasSuccessor(const BackendServer& server) const;
-  void Finish(const std::string& incarnation, ServerFate fate);
+  void Finish(const BackendServer& server, ServerFate fate);
 
   boost::asio::io_context& io_;
   Registry registry_;
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -42,7 +42,9 @@
 // What a RawServer sends.
 struct RawAnswer {
   // What follows after the bytes.
-  enum class End { kKeep, kClose, kReset };
+  // kEndServer: the process ends, so that nobody listens any more and the
+  // connection ends in order.
+  enum class End { kKeep, kClose, kReset, kEndServer };
 
   std::string bytes;
   End end = End::kKeep;
@@ -138,7 +140,7 @@
   }
 
   // Returns whether further requests may follow.
-  static bool Send(Tcp::socket& socket, const RawAnswer& answer) {
+  bool Send(Tcp::socket& socket, const RawAnswer& answer) {
     boost::system::error_code error;
     boost::asio::write(socket, boost::asio::buffer(answer.bytes), error);
     while (!answer.without_end.empty() && !error) {
@@ -158,6 +160,9 @@
       std::this_thread::sleep_for(kLatePause);
       socket.set_option(boost::asio::socket_base::linger(true, 0), error);
     }
+    if (answer.end == RawAnswer::End::kEndServer) {
+      shutdown(acceptor_.native_handle(), SHUT_RDWR);
+    }
     socket.close(error);
     return false;
   }
--- a/tests/unit/gateway_http_test.cc
+++ b/tests/unit/gateway_http_test.cc
@@ -395,11 +395,17 @@
 }
 
 TEST(HttpConnectionTest, HeadCutAnywhereIsIncomplete) {
-  for (const std::string first :
-       {"HTTP/1.1 200 OK\r\nId: a\r\n", "HTTP/1.1 204 No Content\r\nId: a\r\n",
-        "HTTP/1.1 304 Not Modified\r\nId: a\r\n",
-        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\n",
-        "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n"}) {
+  constexpr auto kComplete = ExchangeResult::kComplete;
+  constexpr auto kEndedByClose = ExchangeResult::kEndedByClose;
+  const std::pair<std::string, ExchangeResult> heads[] = {
+      {"HTTP/1.1 200 OK\r\nId: a\r\n", kEndedByClose},
+      {"HTTP/1.1 204 No Content\r\nId: a\r\n", kComplete},
+      {"HTTP/1.1 304 Not Modified\r\nId: a\r\n", kComplete},
+      {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\n",
+       kEndedByClose},
+      {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n", kComplete},
+  };
+  for (const auto& [first, whole] : heads) {
     std::string head = first + "\r\n";
     for (size_t cut = 0; cut < head.size(); ++cut) {
       ScriptedServer server({head.substr(0, cut) + "!"});
@@ -408,9 +414,7 @@
           << cut << " bytes of " << head;
     }
     ScriptedServer server({head + "!"});
-    EXPECT_EQ(Send(server.address(), {"a"})[0].result,
-              ExchangeResult::kComplete)
-        << head;
+    EXPECT_EQ(Send(server.address(), {"a"})[0].result, whole) << head;
   }
 }
 
@@ -420,13 +424,16 @@
        {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\n|hello",
         "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nhe|llo",
         "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n|"
-        "5\r\nhello\r\n0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nId: a\r\n\r\n|hello"}) {
+        "5\r\nhello\r\n0\r\n\r\n"}) {
     ScriptedServer server({std::string(response) + "!"});
     auto outcomes = Send(server.address(), {"a"});
     EXPECT_EQ(outcomes[0].result, ExchangeResult::kComplete) << response;
     EXPECT_EQ(outcomes[0].body, "hello") << response;
   }
+  ScriptedServer unframed({"HTTP/1.1 200 OK\r\nId: a\r\n\r\n|hello!"});
+  auto outcomes = Send(unframed.address(), {"a"});
+  EXPECT_EQ(outcomes[0].result, ExchangeResult::kEndedByClose);
+  EXPECT_EQ(outcomes[0].body, "hello");
 }
 
 // Such a response has no body, whatever length its head gives.
@@ -471,7 +478,7 @@
 TEST(HttpConnectionTest, AnswerWithoutLengthEndsWithTheConnection) {
   ScriptedServer server({"HTTP/1.1 200 OK\r\nId: a\r\n\r\nwhole!"});
   auto outcomes = Send(server.address(), {"a"});
-  EXPECT_EQ(outcomes[0].result, ExchangeResult::kComplete);
+  EXPECT_EQ(outcomes[0].result, ExchangeResult::kEndedByClose);
   EXPECT_EQ(outcomes[0].body, "whole");
 }
 
