One place decides from a response's head whether it is the request's own

Cause: a connection took any response without an id for its own in its first exchange, and nothing looked at stamps.

Change: core/response_check compares the decoded head (id, stamp of a success, repeated fields, content coding) with what the request expects. Connections ask it for each final head, first exchange or not, of bookings, streams, prefills, own requests and the store. Late responses to other requests are skipped as before; anything else ends the exchange. The separate rule for refusals without an id is covered by it and goes.

Tests: fake servers that left out the stamp send it; RawServer reads the bodies of its requests (an unread one became part of the next head, so that ReservationAnswers tested the answers to something else); that test drops the server's health record between its cases, since an answer that was too long now keeps it unused for a while.

--- a/src/gateway/control/store_client.cc
+++ b/src/gateway/control/store_client.cc
@@ -14,6 +14,14 @@
 constexpr unsigned kTooManyRequestsStatus = 429;
 constexpr unsigned kFirstServerErrorStatus = 500;
 
+// The store's calls have no ids, and its responses no stamps.
+ResponseFault CheckStoreResponse(const http::response_header<>& head,
+                                 const ExpectedResponse& expected) {
+  BackendResponse response;
+  response.status = head.result_int();
+  return FindResponseFault(response, expected);
+}
+
 // Whether the store processed the call. A response with 429 or 5xx counts as a
 // failure: with it the store refuses this instance.
 bool CallSucceeded(const ExchangeOutcome& outcome) {
@@ -30,7 +38,7 @@
     : io_(io),
       address_(std::move(address)),
       metrics_(metrics),
-      pool_(io, nullptr) {}
+      pool_(io, CheckStoreResponse) {}
 
 StoreClient::~StoreClient() = default;
 
@@ -49,7 +57,8 @@
   ExchangeOptions options;
   options.timeout = timeout;
   options.body_timeout = kBodyTimeout;
-  call.Start(address_, std::move(request), "", options, std::move(callbacks));
+  call.Start(address_, std::move(request), ExpectedResponse{}, options,
+             std::move(callbacks));
   return id;
 }
 
--- a/src/gateway/core/codecs.h
+++ b/src/gateway/core/codecs.h
@@ -108,6 +108,10 @@
 struct BackendResponse {
   unsigned status = 0;
   std::string request_id;  // Echoed request id; empty if absent.
+  // The server certifies that the response is its own to this request.
+  bool stamped = false;
+  bool repeated_field = false;  // Several request ids or stamps.
+  bool encoded_body = false;    // The body has a content coding.
   // The server confirms that it did not execute the request.
   bool not_executed = false;
   bool wrong_server = false;  // Another incarnation now uses the address.
--- a/src/gateway/net/connection_pool.cc
+++ b/src/gateway/net/connection_pool.cc
@@ -79,7 +79,7 @@
   }
   ++opened_;
   return std::make_shared<HttpConnection>(
-      io_, std::get<Tcp::endpoint>(endpoint), extract_request_id_);
+      io_, std::get<Tcp::endpoint>(endpoint), check_response_);
 }
 
 void ConnectionPool::Return(const std::string& address,
--- a/src/gateway/net/connection_pool.h
+++ b/src/gateway/net/connection_pool.h
@@ -22,11 +22,11 @@
   // Limit of body_memory(), for instances of the smallest size.
   static constexpr size_t kDefaultBodyMemoryBytes = 22 << 20;
 
-  // `extract_request_id` reads the request id that a response head echoes.
+  // `check_response`: see HttpConnection.
   ConnectionPool(boost::asio::io_context& io,
-                 HttpConnection::RequestIdExtractor extract_request_id)
+                 HttpConnection::ResponseCheck check_response)
       : io_(io),
-        extract_request_id_(std::move(extract_request_id)),
+        check_response_(std::move(check_response)),
         body_memory_(kDefaultBodyMemoryBytes) {}
 
   // Returns an idle connection to `address` ("IP:port") that has carried no
@@ -62,7 +62,7 @@
                 TimePoint now) const;
 
   boost::asio::io_context& io_;
-  HttpConnection::RequestIdExtractor extract_request_id_;
+  HttpConnection::ResponseCheck check_response_;
   // By address, the most recently used connection last.
   std::map<std::string, std::vector<std::shared_ptr<HttpConnection>>> idle_;
   uint64_t opened_ = 0;
--- a/src/gateway/net/http_connection.cc
+++ b/src/gateway/net/http_connection.cc
@@ -61,26 +61,26 @@
 
 HttpConnection::HttpConnection(boost::asio::io_context& io,
                                Tcp::endpoint endpoint,
-                               RequestIdExtractor extract_request_id)
+                               ResponseCheck check_response)
     : io_(io),
       socket_(io),
       endpoint_(std::move(endpoint)),
-      extract_request_id_(std::move(extract_request_id)),
+      check_response_(std::move(check_response)),
       connect_timer_(io) {}
 
 void HttpConnection::Send(HttpRequest request,
-                          const std::string& request_id,
+                          const ExpectedResponse& expected,
                           ExchangeObserver& observer) {
   is_head_request_ = request.method() == http::verb::head;
   request_ = std::move(request);
-  request_id_ = request_id;
+  expected_ = expected;
   observer_ = &observer;
   maybe_sent_ = false;
   skipped_responses_ = 0;
   skipped_bytes_ = 0;
   ++exchanges_;
-  if (!request_id_.empty()) {
-    carried_ids_.push_back(HashOf(request_id_));
+  if (!expected_.request_id.empty()) {
+    carried_ids_.push_back(HashOf(expected_.request_id));
   }
   ResetReader();
   if (connected_) {
@@ -231,14 +231,13 @@
     SkipResponse();  // Interim response; the final one follows.
     return;
   }
-  std::string id =
-      extract_request_id_ ? extract_request_id_(head) : std::string();
-  // A response without an id certainly belongs to this request only if this is
-  // the first exchange on the connection.
-  bool matches = id == request_id_ || (id.empty() && exchanges_ == 1) ||
-                 (request_id_.empty() && !HasCarried(id));
-  if (!matches) {
-    SkipForeignResponse(id);
+  ResponseFault fault = check_response_(head, expected_);
+  if (MayBeLate(fault)) {
+    SkipForeignResponse(fault);
+    return;
+  }
+  if (fault != ResponseFault::kNone) {
+    RejectResponse(fault);
     return;
   }
   if (auto found = head.find(http::field::keep_alive); found != head.end()) {
@@ -262,20 +261,35 @@
   ++skipped_responses_;
 }
 
-void HttpConnection::SkipForeignResponse(const std::string& id) {
+bool HttpConnection::MayBeLate(ResponseFault fault) const {
+  return fault == ResponseFault::kOtherRequest ||
+         (fault == ResponseFault::kNoRequestId && exchanges_ > 1);
+}
+
+void HttpConnection::SkipForeignResponse(ResponseFault fault) {
   keep_alive_ = false;
-  LogEvent("response_skipped", LogLevel::kWarning)
+  LogFault("response_skipped", fault);
+  SkipResponse();
+}
+
+void HttpConnection::RejectResponse(ResponseFault fault) {
+  LogFault("response_rejected", fault);
+  Finish(ExchangeResult::kIncomplete);
+}
+
+void HttpConnection::LogFault(std::string_view event,
+                              ResponseFault fault) const {
+  LogEvent(event, LogLevel::kWarning)
       .Field("server", ToString(endpoint_))
-      .Field("request", request_id_)
-      .Field("response", id)
+      .Field("request", expected_.request_id)
+      .Field("why", ResponseFaultName(fault))
       .Field("status", static_cast<int64_t>(reader_->head().result_int()));
-  SkipResponse();
 }
 
 void HttpConnection::LogUnsolicited(std::string_view when) const {
   LogEvent("connection_given_up", LogLevel::kWarning)
       .Field("server", ToString(endpoint_))
-      .Field("request", request_id_)
+      .Field("request", expected_.request_id)
       .Field("why", when);
 }
 
--- a/src/gateway/net/http_connection.h
+++ b/src/gateway/net/http_connection.h
@@ -4,9 +4,9 @@
 // - Never retries a request.
 // - Reports whether any byte of the request may have reached the server, which
 //   decides whether the caller of this class may retry safely.
-// - Delivers only the response that echoes the request's id, or, in the first
-//   exchange of a connection, one without an id. Late responses to earlier
-//   requests on the connection are skipped.
+// - Delivers only what its check takes for the response to the request. Late
+//   responses to earlier requests on the connection are skipped; other bytes
+//   end the exchange.
 // - Carries one exchange at most for a request id, so that a response repeated
 //   by the server never matches a later try of the same request.
 // - Bounds what it keeps and skips, so that a server that sends bytes without
@@ -26,6 +26,7 @@
 #include <vector>
 
 #include "gateway/core/codecs.h"
+#include "gateway/core/response_check.h"
 #include "gateway/net/message_reader.h"
 #include "gateway/net/sockets.h"
 
@@ -63,20 +64,19 @@
 // Not thread-safe: used on the event loop's thread only.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
  public:
-  // Returns the request id that a response head echoes; empty if it has none.
-  using RequestIdExtractor =
-      std::function<std::string(const http::response_header<>&)>;
+  // Returns what is wrong with the head of a final response.
+  using ResponseCheck =
+      std::function<ResponseFault(const http::response_header<>& head,
+                                  const ExpectedResponse& expected)>;
 
   HttpConnection(boost::asio::io_context& io,
                  Tcp::endpoint endpoint,
-                 RequestIdExtractor extract_request_id);
+                 ResponseCheck check_response);
 
   // Connects if necessary and sends `request`. `observer` must outlive the
-  // exchange, i.e. live until OnEnd or Close. With an empty `request_id` the
-  // first final response is accepted, unless it echoes the id of an earlier
-  // exchange on this connection.
+  // exchange, i.e. live until OnEnd or Close.
   void Send(HttpRequest request,
-            const std::string& request_id,
+            const ExpectedResponse& expected,
             ExchangeObserver& observer);
   // Closes the connection. No further observer or idle-close callback is
   // called.
@@ -127,7 +127,13 @@
   void SkipResponse();
   // The same, and it belongs to no exchange in progress. The connection is not
   // used again after this exchange.
-  void SkipForeignResponse(const std::string& id);
+  void SkipForeignResponse(ResponseFault fault);
+  // What came instead of the response. Ends the exchange.
+  void RejectResponse(ResponseFault fault);
+  void LogFault(std::string_view event, ResponseFault fault) const;
+  // Whether the one that has `fault` may be a late response to an earlier
+  // exchange on this connection.
+  bool MayBeLate(ResponseFault fault) const;
   // Logs that the connection is closed because bytes came for which no request
   // was waiting.
   void LogUnsolicited(std::string_view when) const;
@@ -142,12 +148,12 @@
   boost::asio::io_context& io_;
   Tcp::socket socket_;
   Tcp::endpoint endpoint_;
-  RequestIdExtractor extract_request_id_;
+  ResponseCheck check_response_;
   boost::asio::steady_timer connect_timer_;
   boost::beast::flat_buffer buffer_;
   std::optional<Reader> reader_;
   std::optional<HttpRequest> request_;
-  std::string request_id_;
+  ExpectedResponse expected_;
   ExchangeObserver* observer_ = nullptr;  // Non-null during an exchange.
   std::function<void()> on_idle_close_;
   TimePoint idle_since_{};
--- a/src/gateway/net/timed_exchange.cc
+++ b/src/gateway/net/timed_exchange.cc
@@ -19,7 +19,7 @@
 
 void TimedExchange::Start(const std::string& address,
                           HttpRequest request,
-                          const std::string& request_id,
+                          const ExpectedResponse& expected,
                           const ExchangeOptions& options,
                           ExchangeCallbacks callbacks) {
   started_ = SteadyClock::now();
@@ -28,7 +28,7 @@
   max_body_bytes_ = options.max_body_bytes;
   body_timeout_ = options.body_timeout;
   body_bytes_before_ = 0;
-  connection_ = pool_.Take(address, request_id, options.avoid_stale);
+  connection_ = pool_.Take(address, expected.request_id, options.avoid_stale);
   if (!connection_) {
     // The address cannot be parsed.
     boost::asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_)] {
@@ -39,7 +39,7 @@
     return;
   }
   SetTimeout(options.timeout);
-  connection_->Send(std::move(request), request_id, *this);
+  connection_->Send(std::move(request), expected, *this);
 }
 
 void TimedExchange::SetTimeout(Duration timeout) {
--- a/src/gateway/net/timed_exchange.h
+++ b/src/gateway/net/timed_exchange.h
@@ -68,11 +68,11 @@
   // Cancels the exchange by closing its connection; no callback is called.
   ~TimedExchange() override;
 
-  // Sends `request` to `address` ("IP:port"). Only a response that echoes
-  // `request_id` is accepted.
+  // Sends `request` to `address` ("IP:port"). Only a response without a fault
+  // compared with `expected` is accepted.
   void Start(const std::string& address,
              HttpRequest request,
-             const std::string& request_id,
+             const ExpectedResponse& expected,
              const ExchangeOptions& options,
              ExchangeCallbacks callbacks);
   // Restarts the timeout: the exchange now times out `timeout` from now.
--- a/src/gateway/traffic/active_request.cc
+++ b/src/gateway/traffic/active_request.cc
@@ -489,8 +489,9 @@
   } else {
     exchange_options.avoid_stale = !input_.route->IsRetrySafe();
   }
-  attempt_->Start(std::move(request), input_.caller_request.id,
-                  exchange_options, Guarded(std::move(callbacks)));
+  ExpectedResponse expected{input_.caller_request.id, !options.prefill_only};
+  attempt_->Start(std::move(request), expected, exchange_options,
+                  Guarded(std::move(callbacks)));
 }
 
 void ActiveRequest::StartOwnAttempt(const BackendServer& server,
@@ -501,7 +502,7 @@
   ExchangeOptions exchange_options;
   exchange_options.timeout = timeout;
   exchange_options.max_body_bytes = ExchangeOptions::kMaxOwnBodyBytes;
-  attempt_->Start(std::move(request), "", exchange_options,
+  attempt_->Start(std::move(request), ExpectedResponse{}, exchange_options,
                   Guarded(std::move(callbacks)));
 }
 
--- a/src/gateway/traffic/server_attempt.cc
+++ b/src/gateway/traffic/server_attempt.cc
@@ -21,17 +21,14 @@
 }
 
 void ServerAttempt::Start(HttpRequest request,
-                          const std::string& request_id,
+                          const ExpectedResponse& expected,
                           const ExchangeOptions& options,
                           AttemptCallbacks callbacks) {
   ExchangeCallbacks exchange_callbacks;
-  exchange_callbacks.on_head = [this, request_id,
+  exchange_callbacks.on_head = [this, request_id = expected.request_id,
                                 on_head = std::move(callbacks.on_head)](
                                    const http::response_header<>& head) {
     response_ = context_.backends.DecodeResponse(head);
-    if (response_.request_id != request_id) {
-      DropUnconfirmedRefusal(request_id);
-    }
     RecordNotice(request_id);
     return on_head && on_head(head, response_);
   };
@@ -41,7 +38,7 @@
     OnExchangeEnd(std::move(outcome));
   };
   on_end_ = std::move(callbacks.on_end);
-  exchange_.Start(server_.address, std::move(request), request_id, options,
+  exchange_.Start(server_.address, std::move(request), expected, options,
                   std::move(exchange_callbacks));
 }
 
@@ -92,17 +89,6 @@
   End(std::move(outcome));
 }
 
-void ServerAttempt::DropUnconfirmedRefusal(const std::string& request_id) {
-  if (!std::exchange(response_.not_executed, false)) {
-    return;
-  }
-  LogEvent("refusal_unconfirmed", LogLevel::kWarning)
-      .Field("server", server_.id)
-      .Field("request", request_id)
-      .Field("response", response_.request_id)
-      .Field("status", static_cast<int64_t>(response_.status));
-}
-
 void ServerAttempt::RecordNotice(const std::string& request_id) {
   if (response_.draining) {
     context_.metrics.Increment("mangoyoke_draining_responses_total");
--- a/src/gateway/traffic/server_attempt.h
+++ b/src/gateway/traffic/server_attempt.h
@@ -57,11 +57,10 @@
   // Cancels the attempt if it is in progress.
   ~ServerAttempt();
 
-  // Sends `request` and calls `callbacks`. `request_id`: the id to expect in
-  // the response; empty: any. Requests that must not be retried avoid stale
-  // connections.
+  // Sends `request` and calls `callbacks`. Requests that must not be retried
+  // avoid stale connections.
   void Start(HttpRequest request,
-             const std::string& request_id,
+             const ExpectedResponse& expected,
              const ExchangeOptions& options,
              AttemptCallbacks callbacks);
   // Restarts the timeout with `timeout` from now.
@@ -75,9 +74,6 @@
   void SetPaused(bool paused) { exchange_.SetPaused(paused); }
 
  private:
-  // The response does not echo `request_id`, so its statement that the request
-  // was not executed may concern another one and does not count.
-  void DropUnconfirmedRefusal(const std::string& request_id);
   // Records and counts what the response head says of the server itself.
   void RecordNotice(const std::string& request_id);
   void OnExchangeEnd(ExchangeOutcome exchange_outcome);
--- a/src/gateway/traffic/traffic_context.cc
+++ b/src/gateway/traffic/traffic_context.cc
@@ -27,8 +27,10 @@
       backends(backend_codec),
       metrics(process_metrics),
       pool(io_context,
-           [&backend_codec](const http::response_header<>& head) {
-             return backend_codec.DecodeResponse(head).request_id;
+           [&backend_codec](const http::response_header<>& head,
+                            const ExpectedResponse& expected) {
+             return FindResponseFault(backend_codec.DecodeResponse(head),
+                                      expected);
            }),
       load(ReportTtls{}),
       retry_budget(retry_budget_options, process_started),
@@ -72,8 +74,8 @@
   };
   auto attempt = std::make_unique<ServerAttempt>(context, server, LoadCharge{});
   context.background_attempts.emplace(id, std::move(attempt))
-      .first->second->Start(std::move(release), "", exchange_options,
-                            std::move(callbacks));
+      .first->second->Start(std::move(release), ExpectedResponse{},
+                            exchange_options, std::move(callbacks));
 }
 
 }  // namespace
--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -72,6 +72,7 @@
       http::response_header<> head;
       head.result(200);
       head.set(kRequestIdHeader, request[kRequestIdHeader]);
+      head.set(kResponseStampHeader, "stamp");
       head.set(http::field::content_type, "text/event-stream");
       responder->BeginStream(head);
       SendEvent(responder, 1);
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <cstdlib>
 #include <functional>
 #include <list>
 #include <mutex>
@@ -77,6 +78,9 @@
     }
   }
 
+  // Answers requests before their bodies were read, which stay unread.
+  void AnswerBeforeBodies() { reads_bodies_ = false; }
+
   std::string address() const {
     return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
   }
@@ -119,6 +123,9 @@
       RawRequest request{received.substr(0, end), connection, ++on_connection,
                          ++requests_};
       received.erase(0, end);
+      if (reads_bodies_ && !DropBody(socket, request, received)) {
+        return;
+      }
       if (!Send(socket, script_(request))) {
         return;
       }
@@ -139,6 +146,23 @@
     return true;
   }
 
+  // Removes the body of `request` from what was received. Returns false when
+  // the other side closed the connection.
+  static bool DropBody(Tcp::socket& socket,
+                       const RawRequest& request,
+                       std::string& received) {
+    size_t length =
+        std::strtoul(request.Header("Content-Length").c_str(), nullptr, 10);
+    boost::system::error_code error;
+    while (received.size() < length && !error) {
+      char bytes[4096];
+      received.append(bytes,
+                      socket.read_some(boost::asio::buffer(bytes), error));
+    }
+    received.erase(0, length);
+    return !error;
+  }
+
   // Returns whether further requests may follow.
   bool Send(Tcp::socket& socket, const RawAnswer& answer) {
     boost::system::error_code error;
@@ -172,6 +196,7 @@
   boost::asio::io_context io_;
   Tcp::acceptor acceptor_;
   std::atomic<bool> stopped_{false};
+  std::atomic<bool> reads_bodies_{true};
   std::atomic<int> accepted_{0};
   std::atomic<int> requests_{0};
   std::list<Connection> connections_;  // Added to by accepting_ only.
--- a/tests/support/raw_servers_fixture.h
+++ b/tests/support/raw_servers_fixture.h
@@ -66,17 +66,18 @@
     thread_ = std::thread([this] { io_.run(); });
   }
 
-  // Sends one request with the id "id-1" and further `headers`.
-  ReceivedResponse Receive(const std::string& headers = "") {
+  // Sends one request with the id `id` and further `headers`.
+  ReceivedResponse Receive(const std::string& headers = "",
+                           const std::string& id = "id-1") {
     boost::asio::io_context io;
     Tcp::socket socket(io);
     socket.connect(
         Tcp::endpoint(boost::asio::ip::address_v4::loopback(), kGatewayPort));
     std::string request =
         "POST /x HTTP/1.1\r\nHost: h\r\n"
-        "X-Mangoyoke-Request-Id: id-1\r\n"
-        "X-Mangoyoke-Token-Counts: 900,100\r\n" +
-        headers + "Connection: close\r\n\r\n";
+        "X-Mangoyoke-Token-Counts: 900,100\r\n"
+        "X-Mangoyoke-Request-Id: " +
+        id + "\r\n" + headers + "Connection: close\r\n\r\n";
     boost::asio::write(socket, boost::asio::buffer(request));
     ReceivedResponse response;
     boost::system::error_code error;
--- a/tests/unit/gateway_http_test.cc
+++ b/tests/unit/gateway_http_test.cc
@@ -14,6 +14,7 @@
 #include "gateway/net/http_connection.h"
 #include "gateway/net/http_listener.h"
 #include "gateway/net/timed_exchange.h"
+#include "tests/support/check_id.h"
 #include "tests/support/listener_fixture.h"
 
 namespace mangoyoke {
@@ -327,9 +328,7 @@
 std::vector<ExchangeOutcome> Send(const std::string& address,
                                   const std::vector<std::string>& ids) {
   boost::asio::io_context io;
-  ConnectionPool pool(io, [](const http::response_header<>& head) {
-    return std::string(head["Id"]);
-  });
+  ConnectionPool pool(io, CheckId);
   std::vector<ExchangeOutcome> outcomes;
   for (const std::string& id : ids) {
     TimedExchange exchange(io, pool);
@@ -340,7 +339,7 @@
       ended = true;
     };
     HttpRequest request(http::verb::get, "/", 11);
-    exchange.Start(address, std::move(request), id, {.timeout = Millis(500)},
+    exchange.Start(address, std::move(request), {id}, {.timeout = Millis(500)},
                    std::move(callbacks));
     while (!ended) {
       io.run_one();
@@ -556,16 +555,14 @@
 TEST_P(EndlessBytesTest, EndTheExchange) {
   EndlessServer server(GetParam());
   boost::asio::io_context io;
-  ConnectionPool pool(io, [](const http::response_header<>& head) {
-    return std::string(head["Id"]);
-  });
+  ConnectionPool pool(io, CheckId);
   TimedExchange exchange(io, pool);
   std::optional<ExchangeOutcome> outcome;
   ExchangeCallbacks callbacks;
   callbacks.on_end = [&](ExchangeOutcome result) {
     outcome = std::move(result);
   };
-  exchange.Start(server.address(), HttpRequest(http::verb::get, "/", 11), "a",
+  exchange.Start(server.address(), HttpRequest(http::verb::get, "/", 11), {"a"},
                  {.timeout = Seconds(20)}, std::move(callbacks));
   TimePoint start = SteadyClock::now();
   while (!outcome) {
--- a/tests/unit/gateway_traffic_test.cc
+++ b/tests/unit/gateway_traffic_test.cc
@@ -207,6 +207,7 @@
     http::response_header<> head;
     head.result(200);
     head.set(kRequestIdHeader, request[kRequestIdHeader]);
+    head.set(kResponseStampHeader, "stamp");
     head.set(http::field::content_type, "text/event-stream");
     responder->BeginStream(head);
     std::make_shared<StalledStream>(io_, kRepeated[number / 2])
--- a/tests/unit/odd_server_answers_test.cc
+++ b/tests/unit/odd_server_answers_test.cc
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/post.hpp>
+#include <future>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -66,6 +68,16 @@
     };
   }
 
+  // A server whose answers could not be used gets no requests for a while.
+  void ForgetFailures() {
+    std::promise<void> forgotten;
+    boost::asio::post(io_, [this, &forgotten] {
+      context_.health.KeepOnly(ServerSnapshot{});
+      forgotten.set_value();
+    });
+    forgotten.get_future().wait();
+  }
+
   void ExpectNothingInjected(const std::string& name) {
     std::lock_guard lock(mutex_);
     EXPECT_FALSE(heads_.empty()) << name;
@@ -128,6 +140,7 @@
       std::lock_guard lock(mutex_);
       body = odd;
     }
+    ForgetFailures();
     int before = server.requests();
     std::string received = Receive().bytes;
     EXPECT_TRUE(received.starts_with("HTTP/1.1 200") ||
--- a/tests/unit/silent_hosts_test.cc
+++ b/tests/unit/silent_hosts_test.cc
@@ -12,6 +12,7 @@
 #include <thread>
 
 #include "gateway/net/timed_exchange.h"
+#include "tests/support/check_id.h"
 
 namespace mangoyoke {
 namespace {
@@ -56,7 +57,7 @@
       serve(socket);
     });
     boost::asio::io_context io;
-    ConnectionPool pool(io, nullptr);
+    ConnectionPool pool(io, CheckId);
     TimedExchange exchange(io, pool);
     ExchangeOutcome result;
     ExchangeCallbacks callbacks;
@@ -67,7 +68,7 @@
     HttpRequest request(http::verb::post, "/", 11);
     request.body() = body;
     request.prepare_payload();
-    exchange.Start(kAddress, std::move(request), "", {.timeout = Seconds(20)},
+    exchange.Start(kAddress, std::move(request), {}, {.timeout = Seconds(20)},
                    std::move(callbacks));
     io.run();
     server.join();
--- a/tests/unit/silent_servers_test.cc
+++ b/tests/unit/silent_servers_test.cc
@@ -278,6 +278,7 @@
     http::response_header<> head;
     head.result(200);
     head.set(kRequestIdHeader, request[kRequestIdHeader]);
+    head.set(kResponseStampHeader, "stamp");
     head.set(http::field::content_type, "text/event-stream");
     responder->BeginStream(head);
     for (int id = 1; id <= 5; ++id) {
@@ -388,6 +389,7 @@
     http::response_header<> head;
     head.result(200);
     head.set(kRequestIdHeader, request[kRequestIdHeader]);
+    head.set(kResponseStampHeader, "stamp");
     head.set(http::field::content_type, "text/event-stream");
     responder->BeginStream(head);
     for (int id = 1; id <= kEvents; ++id) {
--- a/tests/unit/stale_responses_test.cc
+++ b/tests/unit/stale_responses_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gateway/net/timed_exchange.h"
+#include "tests/support/check_id.h"
 #include "tests/support/raw_server.h"
 
 namespace mangoyoke {
@@ -24,10 +25,7 @@
 // Exchanges on the pooled connections to one server.
 class StaleResponsesTest : public ::testing::Test {
  protected:
-  StaleResponsesTest()
-      : pool_(io_, [](const http::response_header<>& head) {
-          return std::string(head["Id"]);
-        }) {}
+  StaleResponsesTest() : pool_(io_, CheckId) {}
 
   // Sends a request and waits for the end of its exchange. What happens on the
   // socket is looked at only after `pause`.
@@ -42,7 +40,7 @@
     };
     HttpRequest request(http::verb::get, "/", 11);
     request.set("X-Mangoyoke-Request-Id", id);
-    exchange.Start(server.address(), std::move(request), id,
+    exchange.Start(server.address(), std::move(request), {id},
                    {.timeout = Millis(500)}, std::move(callbacks));
     std::this_thread::sleep_for(pause);
     while (!outcome) {
