What a call showed of the store holds only while calls go on

Cause: StoreClient learnt whether the store is reachable from the end of a call only. An instance whose view a reader confirms first after an outage stops reading and cancels its next try, so that the store stays unreachable for it. When the reader freezes and it reads again, the first tick takes that for a new outage, and rows missing from its first read for rows that expired in it: their servers are kept for 2 s.

Change: reachability is unknown before the first call and once calls have stopped; only a failed call is evidence of an outage.

Measured: StoreReaderTest.PastOutageKeepsNoServerThatIsGone brings the order about. Tests that asked for reachable() now name the state.

--- a/src/gateway/control/serving_state.cc
+++ b/src/gateway/control/serving_state.cc
@@ -274,7 +274,8 @@
 }
 
 bool ServingState::StoreResponds() const {
-  return reads_store_ && store_.reachable() && config_ &&
+  return reads_store_ &&
+         store_.reachability() == StoreReachability::kReachable && config_ &&
          registry_.version() > 0;
 }
 
@@ -306,7 +307,8 @@
 void ServingState::Tick() {
   TimePoint now = SteadyClock::now();
   UpdateRole(now);
-  if (!StoreResponds()) {
+  if (reads_store_ &&
+      store_.reachability() == StoreReachability::kUnreachable) {
     OnStoreFailure();
   }
   if (registry_.RemoveLapsedServers(now)) {
@@ -317,7 +319,8 @@
 
 void ServingState::UpdateRole(TimePoint now) {
   bool reads = role_.UpdateAndCheckReads(now);
-  if (std::exchange(reads_store_, reads) != reads) {
+  bool changed = std::exchange(reads_store_, reads) != reads;
+  if (changed) {
     LogEvent(reads ? "store_reading_started" : "store_reading_stopped")
         .Field("reader", static_cast<int64_t>(role_.is_reader()))
         .Field("unconfirmed_ms", ToMillis(role_.Age(now)));
@@ -332,6 +335,9 @@
       watcher->Stop();
     }
   }
+  if (changed && !reads) {
+    store_.OnCallsStopped();
+  }
   // An instance that is no reader needs confirmations in order to stop reading.
   follower_.SetRunning(!role_.is_reader() || !ReadsCurrently());
 }
--- a/src/gateway/control/store_client.cc
+++ b/src/gateway/control/store_client.cc
@@ -72,20 +72,28 @@
   }
   TimePoint now = SteadyClock::now();
   bool succeeded = CallSucceeded(outcome);
-  bool changed = SetReachable(succeeded, outcome);
+  StoreReachability before =
+      SetReachability(succeeded ? StoreReachability::kReachable
+                                : StoreReachability::kUnreachable,
+                      outcome);
   (succeeded ? on_success : on_failure).Notify();
   callback(std::move(outcome));
-  if (succeeded && changed) {
+  if (succeeded && before == StoreReachability::kUnreachable) {
     on_recovered.Notify(now);
   }
 }
 
-bool StoreClient::SetReachable(bool reachable, const ExchangeOutcome& outcome) {
+StoreReachability StoreClient::SetReachability(StoreReachability reachability,
+                                               const ExchangeOutcome& outcome) {
+  bool reachable = reachability == StoreReachability::kReachable;
   if (!reachable) {
     metrics_.Increment("mangoyoke_store_failures_total");
   }
-  if (std::exchange(reachable_, reachable) == reachable) {
-    return false;
+  StoreReachability before = std::exchange(reachability_, reachability);
+  // That the first call succeeds is as expected.
+  bool expected = before == StoreReachability::kUnknown && reachable;
+  if (before == reachability || expected) {
+    return before;
   }
   LogEvent event(reachable ? "store_regained" : "store_lost",
                  LogLevel::kWarning);
@@ -94,7 +102,7 @@
   if (outcome.head) {
     event.Field("status", static_cast<int64_t>(outcome.head->result_int()));
   }
-  return true;
+  return before;
 }
 
 }  // namespace mangoyoke
--- a/src/gateway/control/store_client.h
+++ b/src/gateway/control/store_client.h
@@ -16,10 +16,17 @@
 
 namespace mangoyoke {
 
+// What is known of the store. Only the end of a call tells, so nothing is known
+// from the time on at which calls stopped.
+enum class StoreReachability {
+  kUnknown,      // No call ended since the calls began or began again.
+  kReachable,    // The last call succeeded.
+  kUnreachable,  // The last call failed.
+};
+
 // Sends calls to the store over a connection pool, without retries. A call
 // fails if no complete response came in time, or if the status is
-// 429 or 5xx: the store then refuses this instance. The last call decides
-// whether the store counts as reachable.
+// 429 or 5xx: the store then refuses this instance.
 class StoreClient {
  public:
   // Receives the outcome of a call, also of a failed one.
@@ -40,9 +47,10 @@
   void Cancel(uint64_t id) { calls_.erase(id); }
   // Sets the address ("IP:port") that later calls go to.
   void SetAddress(const std::string& address) { address_ = address; }
+  // No calls are sent for the time being, and none is in progress.
+  void OnCallsStopped() { reachability_ = StoreReachability::kUnknown; }
 
-  // Whether the last call succeeded; true before the first one.
-  bool reachable() const { return reachable_; }
+  StoreReachability reachability() const { return reachability_; }
   // Notified when a call succeeded, before its callback.
   Observers<> on_success;
   // Notified when a call failed, before its callback.
@@ -55,8 +63,9 @@
   void OnCallEnd(uint64_t id,
                  ExchangeOutcome outcome,
                  const Callback& callback);
-  // Returns whether reachable() changed.
-  bool SetReachable(bool reachable, const ExchangeOutcome& outcome);
+  // Returns the reachability before.
+  StoreReachability SetReachability(StoreReachability reachability,
+                                    const ExchangeOutcome& outcome);
 
   boost::asio::io_context& io_;
   std::string address_;
@@ -64,7 +73,7 @@
   ConnectionPool pool_;
   std::map<uint64_t, std::unique_ptr<TimedExchange>> calls_;
   uint64_t next_id_ = 1;
-  bool reachable_ = true;
+  StoreReachability reachability_ = StoreReachability::kUnknown;
 };
 
 }  // namespace mangoyoke
--- a/tests/unit/config_in_time_test.cc
+++ b/tests/unit/config_in_time_test.cc
@@ -173,8 +173,9 @@
   ServingInstance& instance = *zone.all()[0];
   store_.AbandonPendingWatches();
   instance.endpoint().SetUnresponsive(true);
-  ASSERT_TRUE(RunUntil(io_, Seconds(5),
-                       [&] { return !instance.client().reachable(); }));
+  ASSERT_TRUE(RunUntil(io_, Seconds(5), [&] {
+    return instance.client().reachability() == StoreReachability::kUnreachable;
+  }));
   // A call for the configuration has just been sent, one for servers is due.
   uint64_t server_calls = instance.endpoint().watches("servers");
   ASSERT_TRUE(RunUntil(io_, Seconds(10), [&] {
@@ -187,8 +188,9 @@
   }));
   instance.endpoint().SetUnresponsive(false);
   PutConfig(store_, kNew);
-  ASSERT_TRUE(RunUntil(io_, kRecoveryBound,
-                       [&] { return instance.client().reachable(); }));
+  ASSERT_TRUE(RunUntil(io_, kRecoveryBound, [&] {
+    return instance.client().reachability() == StoreReachability::kReachable;
+  }));
   EXPECT_TRUE(Within(Millis(100), zone.all(), kNew));
 }
 
--- a/tests/unit/odd_rows_test.cc
+++ b/tests/unit/odd_rows_test.cc
@@ -191,7 +191,9 @@
 TEST_F(OddRowsFollowTest, ServerWithAnOddRowIsKeptAsLapsedAfterAnOutage) {
   StartWithTwoServers();
   endpoint_.SetUnavailable(true);
-  ASSERT_TRUE(WaitUntil([this] { return !client_.reachable(); }));
+  ASSERT_TRUE(WaitUntil([this] {
+    return client_.reachability() == StoreReachability::kUnreachable;
+  }));
   RunUntil(io_, Seconds(1), [] { return false; });
   store_.Put("servers", "a", "{}");
   PutServer(store_, "b");
@@ -204,7 +206,9 @@
 TEST_F(OddRowsFollowTest, LapsedServerIsKeptAlthoughItsRowIsBackAndOdd) {
   StartWithTwoServers();
   endpoint_.SetUnavailable(true);
-  ASSERT_TRUE(WaitUntil([this] { return !client_.reachable(); }));
+  ASSERT_TRUE(WaitUntil([this] {
+    return client_.reachability() == StoreReachability::kUnreachable;
+  }));
   RunUntil(io_, Seconds(1), [] { return false; });
   store_.Put("servers", "a", std::nullopt);
   PutServer(store_, "b");
--- a/tests/unit/serving_state_test.cc
+++ b/tests/unit/serving_state_test.cc
@@ -43,8 +43,9 @@
   RunUntil(io_, Millis(100), [] { return false; });
   store_.AbandonPendingWatches();
   endpoint_.SetUnresponsive(true);
-  ASSERT_TRUE(
-      RunUntil(io_, Seconds(4), [this] { return !client_.reachable(); }));
+  ASSERT_TRUE(RunUntil(io_, Seconds(4), [this] {
+    return client_.reachability() == StoreReachability::kUnreachable;
+  }));
   PutServer(store_, "b");
   endpoint_.SetUnresponsive(false);
   EXPECT_TRUE(RunUntil(io_, Seconds(3), [this] { return ServerCount() == 2; }));
@@ -207,6 +208,38 @@
   }));
 }
 
+// DRAIN: a follower read the store itself in an outage, and stopped since its
+// readers were confirmed first. Much later the readers freeze, and it reads
+// again. A row that is removed by then has not expired in an outage.
+TEST_F(StoreReaderTest, PastOutageKeepsNoServerThatIsGone) {
+  WaitForAll();
+  ServingInstance& follower = *followers_[0];
+  for (ServingInstance* instance : zone_->all()) {
+    instance->endpoint().SetUnavailable(true);
+  }
+  ASSERT_TRUE(RunUntil(io_, kOutage, [&follower] {
+    return follower.client().reachability() == StoreReachability::kUnreachable;
+  }));
+  for (ServingInstance* reader : readers_) {
+    reader->endpoint().SetUnavailable(false);
+  }
+  // Its readers confirm its view; its own calls fail until it makes none.
+  RunUntil(io_, Seconds(5), [] { return false; });
+  double calls = follower.StoreCalls();
+  follower.endpoint().SetUnavailable(false);
+  RunUntil(io_, Seconds(4), [] { return false; });
+  ASSERT_EQ(follower.StoreCalls(), calls);
+  for (ServingInstance* reader : readers_) {
+    reader->Freeze();
+  }
+  RunUntil(io_, Millis(100), [] { return false; });
+  store_.Put("servers", "first", std::nullopt);
+  PutServer(store_, "second");
+  ASSERT_TRUE(RunUntil(io_, kChangeBound,
+                       [&follower] { return follower.Has("second"); }));
+  EXPECT_FALSE(follower.Has("first"));
+}
+
 // An instance that starts again and asks only one with an old view must not
 // count as current.
 TEST_F(StoreReaderTest, OldViewConfirmsNothing) {
