A whole stream without length or chunks counts as served

Cause: the end of such a stream could be the end of its server, so that RecordServed was called for framed responses only. The part that a route's prompts share was never acquitted, or nothing was known to be served and nothing was blamed.

--- a/src/gateway/traffic/engine_decode.cc
+++ b/src/gateway/traffic/engine_decode.cc
@@ -256,9 +256,7 @@
       OnDecodeFailed(false);
       return;
     }
-    if (outcome.Framed()) {
-      RecordServed(outcome.elapsed);
-    }
+    RecordServed(outcome.elapsed);
     input_.responder->Write(std::move(last));
     context_.metrics.Observe("mangoyoke_longest_gap_ms", longest_gap_ms_);
     context_.output_length.Record(input_.service, GeneratedTokens());
@@ -273,7 +271,7 @@
     FailOnFalsePromise();
     return;
   }
-  if (outcome.Succeeded() && outcome.Framed()) {
+  if (outcome.Succeeded()) {
     RecordServed(outcome.elapsed);
   }
   Reply(*outcome.head, std::move(outcome.body), std::move(outcome.body_memory));
--- a/tests/unit/crash_evidence_test.cc
+++ b/tests/unit/crash_evidence_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/post.hpp>
+#include <functional>
 #include <future>
 
 #include "tests/support/raw_servers_fixture.h"
@@ -59,6 +60,42 @@
     return ends.get_future().get();
   }
 
+  // Four servers ended as soon as they got different prompts with the parts
+  // "shared" and "deadly", a few seconds ago.
+  void RecordPastEnds() {
+    OnGateway([this] {
+      TimePoint now = SteadyClock::now();
+      for (int i = 0; i < 4; ++i) {
+        std::string number = std::to_string(i);
+        context_.quarantine.RecordServerEnd(
+            "ended/" + number,
+            PromptParts{{"shared", "deadly"}, "own-" + number},
+            Duration::zero(), now - Seconds(3) + i * Millis(500));
+      }
+    });
+  }
+
+  // Whether prompts with `part` are kept from servers.
+  bool IsQuarantined(const PromptPartId& part) {
+    bool found = false;
+    OnGateway([this, &part, &found] {
+      TimePoint now = SteadyClock::now();
+      context_.quarantine.Decide(now);
+      PromptParts prompt{{part}, "another"};
+      found = context_.quarantine.Find(prompt, now).has_value();
+    });
+    return found;
+  }
+
+  void OnGateway(const std::function<void()>& action) {
+    std::promise<void> done;
+    boost::asio::post(io_, [&] {
+      action();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
   ReceivedResponse Ask() {
     return Receive("X-Mangoyoke-Prompt-Prefix: shared:800,own:100\r\n");
   }
@@ -89,5 +126,27 @@
   EXPECT_EQ(RecordedEnds(), 0U);
 }
 
+// LOST: streams of this form acquitted no part, so that the one that all
+// prompts of a route have was quarantined with the deadly one.
+TEST_F(CrashEvidenceTest, WholeUnframedStreamAcquitsItsParts) {
+  StartServer(StreamHead("") + kEvents, false);
+  RecordPastEnds();
+  EXPECT_EQ(RecordedEnds(), 4U);
+  EXPECT_EQ(Ask().body, kEvents);
+  EXPECT_EQ(RecordedEnds(), 0U);
+}
+
+// BUDGET: where all streams have this form none counted as served, and without
+// served requests no part is blamed.
+TEST_F(CrashEvidenceTest, WholeUnframedStreamsShowThatAnotherPartIsDeadly) {
+  StartServer(StreamHead("") + kEvents, false);
+  RecordPastEnds();
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(Ask().body, kEvents);
+  }
+  EXPECT_TRUE(IsQuarantined("deadly"));
+  EXPECT_FALSE(IsQuarantined("shared"));
+}
+
 }  // namespace
 }  // namespace mangoyoke
