An early answer whose server never reads the request is broken off

What callers could see: a server answers a long upload with a 200 without length, sends a part, ends its sending and resets while the upload is still written. The part counted as a whole answer.

Cause: the end of such a response was judged by itself; the write in progress, which the reset ended afterwards, was not looked at.

Change: a response that ends with its connection during the write of its request is whole once the write succeeds, and broken off if it fails.

Measured: of the five ways in which a server leaves a request unread (UnreadRequestTest), LongEndsAndIsReset failed in 3 of 3 runs before and passes; the others held. Two sound servers that answer early and read on (ReadRequestTest) pass. 67 tests of connections around it passed twice.

--- a/src/gateway/net/http_connection.cc
+++ b/src/gateway/net/http_connection.cc
@@ -145,9 +145,14 @@
   writing_ = false;
   request_.reset();
   maybe_sent_ = maybe_sent_ || size > 0;
-  if (error && !closed_) {
+  if (closed_) {
+    return;
+  }
+  if (error) {
     Finish(maybe_sent_ ? ExchangeResult::kIncomplete
                        : ExchangeResult::kNotSent);
+  } else if (ended_early_) {
+    Finish(ExchangeResult::kEndedByClose);
   }
 }
 
@@ -316,7 +321,11 @@
   keep_alive_ = false;
   if (orderly && head_done_ && !skip_response_ &&
       reader_->EndsWithConnection()) {
-    Finish(ExchangeResult::kEndedByClose);
+    if (writing_) {
+      ended_early_ = true;  // OnWritten decides.
+    } else {
+      Finish(ExchangeResult::kEndedByClose);
+    }
     return;
   }
   // Not kNotSent: bytes of the request may have been sent although the write
--- a/src/gateway/net/http_connection.h
+++ b/src/gateway/net/http_connection.h
@@ -166,6 +166,9 @@
   bool closed_ = false;
   bool is_head_request_ = false;  // Responses have no body.
   bool writing_ = false;          // A write is in progress; it reads request_.
+  // The response ended with the connection before the request was written. It
+  // is whole if the server reads the rest, and not if it resets the connection.
+  bool ended_early_ = false;
   bool maybe_sent_ = false;  // Bytes of the current request may have been sent.
   bool reading_ = false;     // A read is in progress.
   bool paused_ = false;
