A status that HTTP/1.1 does not have is no response

What callers could see: a server in trouble sent an answer with the status 000, and the caller got it (001 and 099 as well).

Cause: the head was parsed and its status never judged. 101, which nothing asked for, was skipped like an interim response, and the bytes of the other protocol were read on.

Change: FindResponseFault refuses statuses outside 200 to 599, for servers and the store; 101 is no interim response.

--- a/src/gateway/core/response_check.cc
+++ b/src/gateway/core/response_check.cc
@@ -5,10 +5,21 @@
 namespace mangoyoke {
 namespace {
 
+constexpr unsigned kInterimClass = 1;
 constexpr unsigned kSuccessClass = 2;
+constexpr unsigned kLastClass = 5;
+constexpr unsigned kSwitchingProtocols = 101;
+
+unsigned ClassOf(unsigned status) {
+  return status / 100;
+}
+
+bool IsFinalStatus(unsigned status) {
+  return ClassOf(status) >= kSuccessClass && ClassOf(status) <= kLastClass;
+}
 
 bool IsSuccess(unsigned status) {
-  return status / 100 == kSuccessClass;
+  return ClassOf(status) == kSuccessClass;
 }
 
 }  // namespace
@@ -17,6 +28,8 @@
   switch (fault) {
     case ResponseFault::kNone:
       return "none";
+    case ResponseFault::kInvalidStatus:
+      return "invalid_status";
     case ResponseFault::kOtherRequest:
       return "other_request";
     case ResponseFault::kNoRequestId:
@@ -31,8 +44,15 @@
   return "none";
 }
 
+bool IsInterimStatus(unsigned status) {
+  return ClassOf(status) == kInterimClass && status != kSwitchingProtocols;
+}
+
 ResponseFault FindResponseFault(const BackendResponse& response,
                                 const ExpectedResponse& expected) {
+  if (!IsFinalStatus(response.status)) {
+    return ResponseFault::kInvalidStatus;
+  }
   if (response.repeated_field) {
     return ResponseFault::kRepeatedField;
   }
--- a/src/gateway/core/response_check.h
+++ b/src/gateway/core/response_check.h
@@ -25,6 +25,7 @@
 // Why a response is not the one to the request in progress.
 enum class ResponseFault {
   kNone,
+  kInvalidStatus,  // The status is not one of a final response.
   kOtherRequest,   // Bears the id of another request.
   kNoRequestId,    // Bears no id, although the request does.
   kRepeatedField,  // Bears several ids or stamps.
@@ -35,7 +36,11 @@
 // The name of `fault` in logs.
 std::string_view ResponseFaultName(ResponseFault fault);
 
-// Returns what is wrong with the final (not 1xx) response `response`.
+// Whether a response with `status` announces another one (1xx). Not 101, which
+// would end the use of HTTP and which no request asks for.
+bool IsInterimStatus(unsigned status);
+
+// Returns what is wrong with `response`, which is not an interim one.
 ResponseFault FindResponseFault(const BackendResponse& response,
                                 const ExpectedResponse& expected);
 
--- a/src/gateway/net/http_connection.cc
+++ b/src/gateway/net/http_connection.cc
@@ -232,8 +232,8 @@
 void HttpConnection::OnHeadParsed() {
   head_done_ = true;
   const auto& head = reader_->head();
-  if (head.result_int() / 100 == 1) {
-    SkipResponse();  // Interim response; the final one follows.
+  if (IsInterimStatus(head.result_int())) {
+    SkipResponse();  // The final one follows.
     return;
   }
   ResponseFault fault = check_response_(head, expected_);
--- a/tests/unit/unproven_answers_test.cc
+++ b/tests/unit/unproven_answers_test.cc
@@ -135,6 +135,11 @@
 TEST(ResponseCheckTest, FailuresNeedAnIdAndNoStamp) {
   ExpectedResponse expected{"a", true};
   BackendResponse response;
+  for (unsigned status : {0U, 99U, 101U, 600U}) {
+    response.status = status;
+    EXPECT_EQ(FindResponseFault(response, expected),
+              ResponseFault::kInvalidStatus);
+  }
   response.status = 503;
   EXPECT_EQ(FindResponseFault(response, expected), ResponseFault::kNoRequestId);
   response.request_id = "a";
