--- a/tests/unit/large_configs_test.cc
+++ b/tests/unit/large_configs_test.cc
@@ -163,6 +163,26 @@
   EXPECT_LT(outcome.elapsed, Seconds(2));
 }
 
+// A frozen process finds the time of its calls over, and the responses in their
+// sockets. To the instance that looked like an outage of the store.
+TEST_F(SlowStoreTest, ResponseThatCameDuringAFreezeIsRead) {
+  constexpr size_t kBody = 300 << 10;
+  RawServer server(0, [](const RawRequest&) {
+    return RawAnswer{Head(kBody) + std::string(kBody, 'x')};
+  });
+  StoreClient client(io_, server.address(), metrics_);
+  std::optional<ExchangeOutcome> outcome;
+  client.Call(HttpRequest(http::verb::get, "/", 11), Millis(300),
+              [&](ExchangeOutcome result) { outcome = std::move(result); });
+  ASSERT_TRUE(RunUntil(io_, Seconds(2), [&] { return server.requests() > 0; }));
+  std::this_thread::sleep_for(Millis(1500));
+  RunUntil(io_, Seconds(5), [&] { return outcome.has_value(); });
+  ASSERT_TRUE(outcome.has_value());
+  EXPECT_EQ(outcome->result, ExchangeResult::kComplete);
+  EXPECT_EQ(outcome->body.size(), kBody);
+  EXPECT_EQ(client.reachability(), StoreReachability::kReachable);
+}
+
 // A watch returns every change since its version, so that a repeated one asks
 // for more than the one before, which was too much.
 TEST_F(SlowStoreTest, ReadFollowsAWatchWhoseBodyWasTooSlow) {
