Tests: one exchange with a scripted server stands once; comments in plain words

RunSingleExchange in tests/support/single_exchange.h replaces the same thirty lines in silent_hosts_test.cc and early_answers_test.cc. Comments of the new tests say what happened without the names of the users' rules.

--- a/tests/unit/crash_evidence_test.cc
+++ b/tests/unit/crash_evidence_test.cc
@@ -126,7 +126,7 @@
   EXPECT_EQ(RecordedEnds(), 0U);
 }
 
-// LOST: streams of this form acquitted no part, so that the one that all
+// Streams of this form acquitted no part, so that the one that all
 // prompts of a route have was quarantined with the deadly one.
 TEST_F(CrashEvidenceTest, WholeUnframedStreamAcquitsItsParts) {
   StartServer(StreamHead("") + kEvents, false);
@@ -136,7 +136,7 @@
   EXPECT_EQ(RecordedEnds(), 0U);
 }
 
-// BUDGET: where all streams have this form none counted as served, and without
+// Where all streams have this form none counted as served, and without
 // served requests no part is blamed.
 TEST_F(CrashEvidenceTest, WholeUnframedStreamsShowThatAnotherPartIsDeadly) {
   StartServer(StreamHead("") + kEvents, false);
--- a/tests/unit/early_answers_test.cc
+++ b/tests/unit/early_answers_test.cc
@@ -4,21 +4,18 @@
 
 #include <gtest/gtest.h>
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
 #include <string>
 #include <thread>
 
-#include "gateway/net/timed_exchange.h"
-#include "tests/support/check_id.h"
+#include "tests/support/single_exchange.h"
 
 namespace mangoyoke {
 namespace {
 
 constexpr uint16_t kPort = 19151;
-constexpr char kAddress[] = "127.0.0.1:19151";
 constexpr char kUnframed[] = "HTTP/1.1 200 OK\r\n\r\npart";
 constexpr Millis kPause{50};
 constexpr size_t kBlankLineBytes = 4;
@@ -58,32 +55,11 @@
 class EarlyAnswersTest : public ::testing::TestWithParam<Case> {
  protected:
   ExchangeOutcome Exchange(const Case& test) {
-    boost::asio::io_context server_io;
-    Tcp::acceptor acceptor(
-        server_io,
-        Tcp::endpoint(boost::asio::ip::address_v4::loopback(), kPort));
-    std::thread server([&] {
-      Tcp::socket socket = acceptor.accept();
-      Read(socket, 1);
-      test.serve(socket);
-    });
-    boost::asio::io_context io;
-    ConnectionPool pool(io, CheckId);
-    TimedExchange exchange(io, pool);
-    ExchangeOutcome result;
-    ExchangeCallbacks callbacks;
-    callbacks.on_end = [&](ExchangeOutcome outcome) {
-      result = std::move(outcome);
-      io.stop();
-    };
-    HttpRequest request(http::verb::post, "/", 11);
-    request.body() = std::string(test.body_bytes, 'x');
-    request.prepare_payload();
-    exchange.Start(kAddress, std::move(request), {}, {.timeout = Seconds(5)},
-                   std::move(callbacks));
-    io.run();
-    server.join();
-    return result;
+    return RunSingleExchange(kPort, std::string(test.body_bytes, 'x'),
+                             Seconds(5), [&test](Tcp::socket& socket) {
+                               Read(socket, 1);
+                               test.serve(socket);
+                             });
   }
 };
 
@@ -92,7 +68,7 @@
 
 class UnreadRequestTest : public EarlyAnswersTest {};
 
-// MIXED: the part that had come arrived as a whole answer.
+// The part that had come arrived as a whole answer.
 TEST_P(UnreadRequestTest, AnswerIsNotWhole) {
   ExchangeOutcome outcome = Exchange(GetParam());
   EXPECT_EQ(outcome.result, ExchangeResult::kIncomplete);
--- a/tests/unit/serving_state_test.cc
+++ b/tests/unit/serving_state_test.cc
@@ -208,7 +208,7 @@
   }));
 }
 
-// DRAIN: a follower read the store itself in an outage, and stopped since its
+// A follower read the store itself in an outage, and stopped since its
 // readers were confirmed first. Much later the readers freeze, and it reads
 // again. A row that is removed by then has not expired in an outage.
 TEST_F(StoreReaderTest, PastOutageKeepsNoServerThatIsGone) {
--- a/tests/unit/silent_hosts_test.cc
+++ b/tests/unit/silent_hosts_test.cc
@@ -11,14 +11,12 @@
 #include <string>
 #include <thread>
 
-#include "gateway/net/timed_exchange.h"
-#include "tests/support/check_id.h"
+#include "tests/support/single_exchange.h"
 
 namespace mangoyoke {
 namespace {
 
 constexpr uint16_t kPort = 19150;
-constexpr char kAddress[] = "127.0.0.1:19150";
 constexpr char kResponse[] = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
 
 // While it exists, the kernel drops all that arrives at `socket` and confirms
@@ -44,35 +42,9 @@
 
 class SilentHostsTest : public ::testing::Test {
  protected:
-  // Sends a request with `body` to a server that accepts the connection and
-  // runs `serve`.
   ExchangeOutcome Exchange(const std::string& body,
-                           std::function<void(Tcp::socket&)> serve) {
-    boost::asio::io_context server_io;
-    Tcp::acceptor acceptor(
-        server_io,
-        Tcp::endpoint(boost::asio::ip::address_v4::loopback(), kPort));
-    std::thread server([&] {
-      Tcp::socket socket = acceptor.accept();
-      serve(socket);
-    });
-    boost::asio::io_context io;
-    ConnectionPool pool(io, CheckId);
-    TimedExchange exchange(io, pool);
-    ExchangeOutcome result;
-    ExchangeCallbacks callbacks;
-    callbacks.on_end = [&](ExchangeOutcome outcome) {
-      result = std::move(outcome);
-      io.stop();
-    };
-    HttpRequest request(http::verb::post, "/", 11);
-    request.body() = body;
-    request.prepare_payload();
-    exchange.Start(kAddress, std::move(request), {}, {.timeout = Seconds(20)},
-                   std::move(callbacks));
-    io.run();
-    server.join();
-    return result;
+                           const std::function<void(Tcp::socket&)>& serve) {
+    return RunSingleExchange(kPort, body, Seconds(20), serve);
   }
 };
 
--- a/tests/unit/unframed_answers_test.cc
+++ b/tests/unit/unframed_answers_test.cc
@@ -53,7 +53,7 @@
   std::atomic<int> attempts_{0};
 };
 
-// ORDER: the kernel closes the connections of a killed process in order, so
+// The kernel closes the connections of a killed process in order, so
 // that its streams arrived as complete ones with a part of their events.
 TEST_F(UnframedAnswersTest, StreamOfAServerThatEndedIsCutOff) {
   Start(RequestKind::kStreaming, UnframedStream(1, 3), kEndServer, "");
@@ -72,7 +72,7 @@
   EXPECT_EQ(attempts_, 2);
 }
 
-// MIXED: the same for a plain response that breaks off.
+// The same for a plain response that breaks off.
 TEST_F(UnframedAnswersTest, PlainAnswerOfAServerThatEndedIsNoSuccess) {
   Start(RequestKind::kNonIdempotent, Unframed("", "half of"), kEndServer, "");
   ReceivedResponse response = Receive();
--- a/tests/unit/unproven_answers_test.cc
+++ b/tests/unit/unproven_answers_test.cc
@@ -46,7 +46,7 @@
   std::atomic<int> attempts_{0};
 };
 
-// MIXED: the first exchange of a connection took any 200 for its response.
+// The first exchange of a connection took any 200 for its response.
 TEST_P(UnprovenAnswersTest, AreNoSuccessOnANewConnection) {
   AddRawServer(ServerStage::kCombined, SpoilAttempt(1));
   StartRaw(RequestKind::kNonIdempotent, false, 1);
