--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -18,8 +18,8 @@
   pids+=($!)
 done
 for case in review/1[1-5]/; do
-  if [ -f "$case/scenario.cc" ]; then
-    compile "$case/scenario.cc" "$out/$(basename "$case").o" &
+  if [ -f "${case}scenario.cc" ]; then
+    compile "${case}scenario.cc" "$out/$(basename "$case").o" &
     pids+=($!)
   fi
 done
@@ -28,7 +28,7 @@
 done
 for case in review/1[1-5]/; do
   number="$(basename "$case")"
-  if [ -f "$case/scenario.cc" ]; then
+  if [ -f "${case}scenario.cc" ]; then
     g++ "$out/$number.o" "${objects[@]}" -o "$out/scenario-$number" -pthread
   fi
 done
--- a/review/standins-3/backend.cc
+++ b/review/standins-3/backend.cc
@@ -41,8 +41,8 @@
            {"born", options.born_ms}};
   if (!plain) {
     row["Stage"] = options.stage;
-    row["Models"] =
-        Json::array({{{"Name", "m"}, {"Version", 1}, {"Adapters", Json::array()}}});
+    row["Models"] = Json::array(
+        {{{"Name", "m"}, {"Version", 1}, {"Adapters", Json::array()}}});
   }
   return row.dump();
 }
@@ -55,11 +55,12 @@
 Backend::Backend(BackendOptions options, Record& record)
     : options_(std::move(options)),
       record_(record),
-      server_(options_.ip,
-              options_.port,
-              [this](Tcp::socket& socket, const Request& request) {
-                return Answer(socket, request);
-              }) {}
+      server_(std::make_unique<HttpServer>(
+          options_.ip,
+          options_.port,
+          [this](Tcp::socket& socket, const Request& request) {
+            return Answer(socket, request);
+          })) {}
 
 std::string Backend::HeadersFor(const Request& request) const {
   std::string id = HeaderOf(request, "X-Mangoyoke-Request-Id");
@@ -78,30 +79,42 @@
          std::to_string(++names_);
 }
 
+std::vector<std::string> Backend::Runs() {
+  std::lock_guard lock(mutex_);
+  return runs_;
+}
+
+void Backend::RecordRun(const std::string& id, const std::string& how) {
+  record_.Line("server " + options_.id + " runs request " + id + how);
+  std::lock_guard lock(mutex_);
+  runs_.push_back(id);
+}
+
 std::string Backend::AnswerOwnCall(const Request& request) {
   std::string path = PathOf(request);
   if (path == "/healthz") {
     return "{}";
   }
   if (path == "/v1/report") {
-    return Json{{"Stage", options_.stage},
-                {"Models",
-                 {{{"Name", "m"}, {"Version", 1}, {"Adapters", Json::array()}}}},
-                {"Busy", false},
-                {"Seq", 0},
-                {"Waiting", 0},
-                {"Running", 0},
-                {"KvUsed", 0},
-                {"KvTotal", 39418},
-                {"KvHandles", 0},
-                {"born", options_.born_ms}}
+    return Json{
+        {"Stage", options_.stage},
+        {"Models",
+         {{{"Name", "m"}, {"Version", 1}, {"Adapters", Json::array()}}}},
+        {"Busy", false},
+        {"Seq", 0},
+        {"Waiting", 0},
+        {"Running", 0},
+        {"KvUsed", 0},
+        {"KvTotal", 39418},
+        {"KvHandles", 0},
+        {"born", options_.born_ms}}
         .dump();
   }
   if (path == "/v1/hold-take") {
     return Json{{"Hold", NewName("hold")}}.dump();
   }
-  bool frees = path.starts_with("/v1/hold-drop/") ||
-               path.starts_with("/v1/kv-handle/");
+  bool frees =
+      path.starts_with("/v1/hold-drop/") || path.starts_with("/v1/kv-handle/");
   return frees ? "{}" : "";
 }
 
@@ -129,7 +142,7 @@
 
 bool Backend::AnswerPlain(Tcp::socket& socket, const Request& request) {
   std::string id = HeaderOf(request, "X-Mangoyoke-Request-Id");
-  record_.Line("server " + options_.id + " runs request " + id);
+  RecordRun(id, "");
   SleepMillis(options_.work_ms);
   return WriteAnswer(
       socket, "200 OK",
@@ -139,18 +152,17 @@
 
 bool Backend::AnswerPrefill(Tcp::socket& socket, const Request& request) {
   SleepMillis(options_.work_ms);
-  return WriteAnswer(socket, "200 OK",
-                     HeadersFor(request) + "Content-Type: application/json\r\n",
-                     Json{{"Handle", NewName("kv")}, {"Tokens", 3200}, {"Version", 1}}
-                         .dump());
+  return WriteAnswer(
+      socket, "200 OK",
+      HeadersFor(request) + "Content-Type: application/json\r\n",
+      Json{{"Handle", NewName("kv")}, {"Tokens", 3200}, {"Version", 1}}.dump());
 }
 
 bool Backend::AnswerStream(Tcp::socket& socket, const Request& request) {
   std::string id = HeaderOf(request, "X-Mangoyoke-Request-Id");
   std::string last = HeaderOf(request, "Last-Event-Id");
   int first = last.empty() ? 1 : std::stoi(last) + 1;
-  record_.Line("server " + options_.id + " runs request " + id +
-               " from event " + std::to_string(first));
+  RecordRun(id, " from event " + std::to_string(first));
   std::string head = "HTTP/1.1 200 OK\r\n" + HeadersFor(request) +
                      "X-Mangoyoke-Response-Stamp: stamp." + id +
                      "\r\nX-Mangoyoke-Weight-Versions: 1"
--- a/review/standins-3/backend.h
+++ b/review/standins-3/backend.h
@@ -7,10 +7,10 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "http_server.h"
 #include "record.h"
@@ -50,8 +50,12 @@
   Backend(BackendOptions options, Record& record);
 
   const BackendOptions& options() const { return options_; }
+  // The ids of the requests that it has run or runs.
+  std::vector<std::string> Runs();
   // From now on all answers say that the server leaves.
   void SetLeaving() { leaving_ = true; }
+  // Closes all connections and accepts no more.
+  void Stop() { server_.reset(); }
   // Replaces the answer of a decode server to a request. Returns whether the
   // connection stays open.
   using StreamWriter =
@@ -68,13 +72,16 @@
   // The headers of each answer to `request`.
   std::string HeadersFor(const Request& request) const;
   std::string NewName(const std::string& kind);
+  void RecordRun(const std::string& id, const std::string& how);
 
   BackendOptions options_;
   Record& record_;
   std::atomic<bool> leaving_ = false;
   std::atomic<int> names_ = 0;
+  std::mutex mutex_;
+  std::vector<std::string> runs_;  // Guarded by mutex_.
   StreamWriter writer_;
-  HttpServer server_;
+  std::unique_ptr<HttpServer> server_;
 };
 
 }  // namespace mangoyoke::review
--- a/review/standins-3/caller.cc
+++ b/review/standins-3/caller.cc
@@ -18,6 +18,14 @@
 
 constexpr int64_t kPatienceMs = 1000;
 
+// The value of header `name`; empty if absent.
+std::string FieldOf(const http::response_header<>& head, const char* name) {
+  auto found = head.find(name);
+  return found == head.end()
+             ? ""
+             : std::string(found->value().data(), found->value().size());
+}
+
 // Reads the answer until it or its connection ends.
 void ReadAnswer(Tcp::socket& socket, int64_t end_ms, CallerAnswer& answer) {
   http::response_parser<http::string_body> parser;
@@ -53,10 +61,8 @@
   if (parser.is_header_done()) {
     const auto& head = parser.get();
     answer.status = static_cast<int>(head.result_int());
-    auto stamp = head.find("X-Mangoyoke-Response-Stamp");
-    if (stamp != head.end()) {
-      answer.stamp.assign(stamp->value().data(), stamp->value().size());
-    }
+    answer.stamp = FieldOf(head, "X-Mangoyoke-Response-Stamp");
+    answer.served_by = FieldOf(head, "X-Mangoyoke-Served-By");
     answer.body = head.body();
     answer.complete = parser.is_done();
   }
@@ -77,8 +83,9 @@
     return answer;
   }
   std::string bytes =
-      request.method + " " + request.path + " HTTP/1.1\r\nHost: " +
-      request.host + "\r\nX-Mangoyoke-Request-Id: " + request.id +
+      request.method + " " + request.path +
+      " HTTP/1.1\r\nHost: " + request.host +
+      "\r\nX-Mangoyoke-Request-Id: " + request.id +
       "\r\nX-Mangoyoke-Deadline-Ms: " + std::to_string(request.deadline_ms) +
       "\r\n" + request.headers;
   if (!request.body.empty()) {
--- a/review/standins-3/caller.h
+++ b/review/standins-3/caller.h
@@ -24,6 +24,7 @@
   bool complete = false;  // The answer ended as its head announces.
   std::string body;       // What arrived of it.
   std::string stamp;      // The server's signature; empty if there is none.
+  std::string served_by;  // The id of the server; empty if it names none.
   int64_t elapsed_ms = 0;
 };
 
--- a/review/standins-3/record.h
+++ b/review/standins-3/record.h
@@ -34,7 +34,8 @@
   Record(const std::string& path, int64_t began)
       : path_(path),
         began_(began),
-        file_(open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+        file_(open(path.c_str(),
+                   O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
                    0644)) {}
   Record(const Record&) = delete;
   Record& operator=(const Record&) = delete;
--- a/review/standins-3/scenario.h
+++ b/review/standins-3/scenario.h
@@ -54,7 +54,8 @@
                           trouble == nullptr || std::string(trouble) != "0"};
   try {
     int code = scenario(options);
-    std::cout << (code == kBroken ? "the rule was broken\n" : "the rule held\n");
+    std::cout << (code == kBroken ? "the rule was broken\n"
+                                  : "the rule held\n");
     return code;
   } catch (const std::exception& exception) {
     std::cerr << "could not run: " << exception.what() << "\n";
--- a/review/standins-3/store.cc
+++ b/review/standins-3/store.cc
@@ -61,12 +61,28 @@
 
 void Store::Write(const std::string& table, Change change) {
   std::lock_guard lock(mutex_);
-  change.version = ++version_;
-  tables_[table][change.key] = std::move(change);
+  ++version_;
+  if (!IsHeartbeat(table, change)) {
+    change.version = version_;
+    tables_[table][change.key] = std::move(change);
+  }
   copies_.push_back(Copy{SteadyMillis(), version_, tables_});
   changed_.notify_all();
 }
 
+bool Store::IsHeartbeat(const std::string& table, const Change& change) {
+  auto known = tables_[table].find(change.key);
+  if (table != "servers" || change.removed || known == tables_[table].end() ||
+      known->second.removed) {
+    return false;
+  }
+  Json before = Json::parse(known->second.value);
+  Json after = Json::parse(change.value);
+  before.erase("Seq");
+  after.erase("Seq");
+  return before == after;
+}
+
 uint64_t Store::version() {
   std::lock_guard lock(mutex_);
   return version_;
@@ -141,11 +157,10 @@
     return "";
   }
   changed_.wait_for(lock, wait, [&] {
-    return away_ ||
-           std::any_of(tables_[table].begin(), tables_[table].end(),
-                       [after](const auto& entry) {
-                         return entry.second.version > after;
-                       });
+    return away_ || std::any_of(tables_[table].begin(), tables_[table].end(),
+                                [after](const auto& entry) {
+                                  return entry.second.version > after;
+                                });
   });
   return EncodeRows(table, after, true);
 }
--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -24,7 +24,8 @@
   Store(const std::string& ip, uint16_t port);
   ~Store();
 
-  // Writes a row in a transaction of its own.
+  // Writes a row in a transaction of its own. A row of `servers` changes for
+  // its readers only if more than its `Seq` does.
   void Put(const std::string& table,
            const std::string& key,
            const std::string& value);
@@ -57,6 +58,8 @@
   };
 
   void Write(const std::string& table, Change change);
+  // Whether `change` is a heartbeat: it changes nothing but `Seq`.
+  bool IsHeartbeat(const std::string& table, const Change& change);
   bool Answer(Tcp::socket& socket, const Request& request);
   std::string Read(const Request& request);
   // Waits for a change as long as the request says. Empty: the store has not
