--- a/review/standins-3/backend.cc
+++ b/review/standins-3/backend.cc
@@ -133,6 +133,9 @@
     return WriteAnswer(socket, "400 Bad Request",
                        headers + "X-Mangoyoke-Not-Executed: 1\r\n", "");
   }
+  if (run_hook_ && !run_hook_(request)) {
+    return false;
+  }
   if (HeaderOf(request, "X-Mangoyoke-Serving-Stage") == "prefill") {
     return AnswerPrefill(socket, request);
   }
--- a/review/standins-3/backend.h
+++ b/review/standins-3/backend.h
@@ -54,8 +54,14 @@
   std::vector<std::string> Runs();
   // From now on all answers say that the server leaves.
   void SetLeaving() { leaving_ = true; }
-  // Closes all connections and accepts no more.
+  // Called before each run, and before each prefill. If it returns false the
+  // connection is closed and the request isn't run.
+  using RunHook = std::function<bool(const Request&)>;
+  void SetRunHook(RunHook hook) { run_hook_ = std::move(hook); }
+  // Closes all connections and accepts no more. Waits for the handlers.
   void Stop() { server_.reset(); }
+  // The same, as at the end of the process. May be called by a handler.
+  void Crash() { server_->Break(); }
   // Replaces the answer of a decode server to a request. Returns whether the
   // connection stays open.
   using StreamWriter =
@@ -81,6 +87,7 @@
   std::mutex mutex_;
   std::vector<std::string> runs_;  // Guarded by mutex_.
   StreamWriter writer_;
+  RunHook run_hook_;
   std::unique_ptr<HttpServer> server_;
 };
 
--- a/review/standins-3/http_server.cc
+++ b/review/standins-3/http_server.cc
@@ -71,20 +71,22 @@
 }
 
 HttpServer::~HttpServer() {
-  {
-    std::lock_guard lock(mutex_);
-    stopping_ = true;
-    shutdown(acceptor_.native_handle(), SHUT_RDWR);  // Ends the accept.
-    for (Connection& connection : connections_) {
-      shutdown(connection.socket.native_handle(), SHUT_RDWR);
-    }
-  }
+  Break();
   thread_.join();
   for (Connection& connection : connections_) {
     connection.thread.join();
   }
 }
 
+void HttpServer::Break() {
+  std::lock_guard lock(mutex_);
+  stopping_ = true;
+  shutdown(acceptor_.native_handle(), SHUT_RDWR);  // Ends the accept.
+  for (Connection& connection : connections_) {
+    shutdown(connection.socket.native_handle(), SHUT_RDWR);
+  }
+}
+
 void HttpServer::AcceptAll() {
   while (true) {
     boost::system::error_code error;
--- a/review/standins-3/http_server.h
+++ b/review/standins-3/http_server.h
@@ -44,9 +44,12 @@
 
   // Throws boost::system::system_error if it can't listen.
   HttpServer(const std::string& ip, uint16_t port, Handler handler);
-  // Resets nothing: all connections are shut down in order.
   ~HttpServer();
 
+  // Accepts no more connections and shuts all connections down, as the end of
+  // the process does. May be called by a handler.
+  void Break();
+
  private:
   struct Connection {
     explicit Connection(Tcp::socket accepted) : socket(std::move(accepted)) {}
