--- a/review/13/scenario.cc
+++ b/review/13/scenario.cc
@@ -1,8 +1,16 @@
-// A model server stops in the middle of an event, after one of its lines, and
-// its HTTP layer ends the response in order, with the last chunk.
+// The platform's store comes back from a copy that is some seconds old, as in a
+// drill, while the servers of a service are replaced one after the other: a new
+// server has registered just before. Later, while the store is stable again,
+// another one registers, and an old one reports that it leaves.
+//
+// The servers of the plain service write their heartbeats to the store. The
+// callers come seldom, so that a machine learns of the leave from the store and
+// not from the server's answers.
 
 #include <atomic>
 #include <future>
+#include <memory>
+#include <mutex>
 #include <vector>
 
 #include "backend.h"
@@ -19,93 +27,150 @@
 constexpr char kStoreIp[] = "127.0.0.11";
 constexpr char kServerIp[] = "127.0.0.12";
 constexpr int kMachines = 3;
-constexpr int kDecodeServers = 2;
-constexpr int kRounds = 40;  // Of one stream at each machine.
-constexpr int64_t kRoundMs = 150;
-constexpr int kEvents = 20;
-constexpr int64_t kEventGapMs = 10;
-// One of the servers cuts off one stream in so many.
-constexpr int kCutInterval = 20;
-constexpr int kCutAtEvent = 12;
-
-std::string Chunk(const std::string& bytes) {
-  char size[16];
-  std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
-  return size + bytes + "\r\n";
-}
+constexpr int kServers = 3;     // At the start.
+constexpr int kNewServers = 2;  // That register later.
+constexpr int kLeaving = 0;     // The server that leaves.
+constexpr int64_t kHeartbeatMs = 1200;
+constexpr int64_t kContactMs = 3000;
+constexpr int64_t kDrainMs = 2000;
+// Since the gateways are ready.
+constexpr int64_t kFirstReplacementAtMs = 11'500;
+constexpr int64_t kDrillAtMs = 12'000;
+constexpr int64_t kAwayMs = 1000;
+constexpr int64_t kCopyAgeMs = 10'000;
+// The store has been stable for kContactMs by then.
+constexpr int64_t kLeaveAtMs = kDrillAtMs + kAwayMs + kContactMs + 200;
+// The first requests after the leave, and the end of the server that leaves. It
+// serves for kDrainMs and a little longer.
+constexpr int64_t kFirstRoundAtMs = kLeaveAtMs + kDrainMs + 300;
+constexpr int64_t kExitAtMs = kFirstRoundAtMs + 40;
+constexpr int kRequestsInRound = 4;  // At each machine, at the same time.
+constexpr int64_t kRoundMs = 500;
+constexpr int kRounds = 4;
 
-BackendOptions ServerOptions(const std::string& id,
-                             const std::string& stage,
-                             uint16_t port) {
-  BackendOptions options;
-  options.id = id;
-  options.service = kAssistantService;
-  options.ip = kServerIp;
-  options.port = port;
-  options.stage = stage;
-  options.born_ms = UnixMillis();
-  options.work_ms = 20;
-  options.events = kEvents;
-  options.event_gap_ms = kEventGapMs;
-  return options;
-}
+// A server with its heartbeats.
+class RegisteredServer {
+ public:
+  RegisteredServer(BackendOptions options, Store& store, Record& record)
+      : store_(store),
+        record_(record),
+        backend_(std::make_unique<Backend>(options, record)) {
+    Register();
+  }
+  ~RegisteredServer() {
+    stopping_ = true;
+    thread_.join();
+  }
+
+  Backend& backend() { return *backend_; }
 
-// Streams the events from `first` on. `cut`: stops in the middle of one.
-bool WriteStream(Tcp::socket& socket,
-                 const std::string& head,
-                 int first,
-                 bool cut) {
-  bool sent = WriteAll(socket, head + "Transfer-Encoding: chunked\r\n\r\n");
-  for (int number = first; sent && number <= kEvents; ++number) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(kEventGapMs));
-    std::string event = EventText(number);
-    if (cut && number == kCutAtEvent) {
-      // Its first line, with the line end.
-      sent = WriteAll(socket, Chunk(event.substr(0, event.find('\n') + 1)));
-      break;
+  // Writes the row now, as at each heartbeat. No effect while the store is
+  // away.
+  void Register() {
+    std::lock_guard lock(mutex_);
+    if (*reachable_) {
+      store_.Put("servers", backend_->options().id,
+                 ServerRow(backend_->options(), state_, ++seq_));
     }
-    sent = WriteAll(socket, Chunk(event));
   }
-  return sent && WriteAll(socket, "0\r\n\r\n");
-}
+  // Reports that the server leaves; its answers say so, too.
+  void Leave() {
+    {
+      std::lock_guard lock(mutex_);
+      state_ = "draining";
+    }
+    backend_->SetLeaving();
+    Register();
+    record_.Line("the store accepts: server " + backend_->options().id +
+                 " is draining, version " + std::to_string(store_.version()));
+  }
 
-// What a whole answer holds.
-std::string WholeBody() {
-  std::string body;
-  for (int number = 1; number <= kEvents; ++number) {
-    body += EventText(number);
+  // Ends with the requests in progress, as it has served long enough.
+  void Exit() {
+    backend_->Stop();
+    record_.Line("server " + backend_->options().id + " has ended");
+    stopping_ = true;
+    store_.Delete("servers", backend_->options().id);
   }
-  return body;
+
+  // Whether the store can be reached; shared by all servers.
+  static inline std::atomic<bool> store_reachable = true;
+
+ private:
+  void Beat() {
+    int64_t next = SteadyMillis() + kHeartbeatMs;
+    while (!stopping_) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      if (SteadyMillis() >= next) {
+        next += kHeartbeatMs;
+        Register();
+      }
+    }
+  }
+
+  Store& store_;
+  Record& record_;
+  std::unique_ptr<Backend> backend_;
+  std::atomic<bool>* reachable_ = &store_reachable;
+  std::mutex mutex_;
+  std::string state_ = "ready";  // Guarded by mutex_.
+  int64_t seq_ = 0;              // Guarded by mutex_.
+  std::atomic<bool> stopping_ = false;
+  std::thread thread_{[this] { Beat(); }};
+};
+
+BackendOptions ServerOptions(int number, uint16_t port) {
+  BackendOptions options;
+  options.id = "i-booking-" + std::to_string(number + 1);
+  options.service = kBookingsService;
+  options.ip = kServerIp;
+  options.port = port;
+  options.born_ms = UnixMillis();
+  return options;
 }
 
-CallerRequest MakeRequest(int machine, int number) {
+// Sends a request in the background.
+std::future<CallerAnswer> SendRequest(const Deployment& deployment,
+                                      int machine,
+                                      const std::string& id,
+                                      Record& record) {
   CallerRequest request;
-  request.id =
-      "req-" + std::to_string(machine + 1) + "-" + std::to_string(number + 1);
+  request.id = id;
   request.host = kHost;
-  request.path = "/agreement/2f";
-  request.headers =
-      "X-Mangoyoke-Model: m\r\n"
-      "X-Mangoyoke-Token-Counts: 3200,20\r\n"
-      "X-Mangoyoke-Prompt-Prefix: 5c1e07a2:200," +
-      request.id + ":3000\r\n";
+  request.path = "/deposit/2f";
   request.body = "{}";
-  request.deadline_ms = 14000;
-  return request;
+  record.Line("client sends " + id + " to machine " +
+              std::to_string(machine + 1));
+  return std::async(
+      std::launch::async, [&deployment, &record, machine, request] {
+        CallerAnswer answer =
+            Call(Deployment::IpOf(machine), deployment.PortOf(kFront), request);
+        record.Line("client got status " + std::to_string(answer.status) +
+                    " for " + request.id);
+        return answer;
+      });
 }
 
-// Whether the answer keeps the rule: one that looks complete is whole.
-bool Check(const CallerRequest& request,
-           const CallerAnswer& answer,
+// The store is away for a moment and comes back from a copy; then the servers
+// write their rows again.
+void Drill(Store& store,
+           std::vector<std::unique_ptr<RegisteredServer>>& servers,
+           int64_t back_at_ms,
            Record& record) {
-  bool whole = answer.body == WholeBody();
-  bool broken = answer.status == 200 && answer.complete && !whole;
-  record.Line("client got status " + std::to_string(answer.status) + " for " +
-              request.id + ", " + std::to_string(answer.body.size()) + " of " +
-              std::to_string(WholeBody().size()) + " bytes, the answer " +
-              (answer.complete ? "ended as complete" : "was broken off") +
-              (broken ? ": RULE BROKEN" : ""));
-  return !broken;
+  RegisteredServer::store_reachable = false;
+  record.Line("the store goes away at version " +
+              std::to_string(store.version()));
+  store.GoAway();
+  WaitUntil(record, back_at_ms);
+  store.ComeBackFromCopy(kCopyAgeMs);
+  record.Line("the store is back from a copy, at version " +
+              std::to_string(store.version()));
+  RegisteredServer::store_reachable = true;
+  for (auto& server : servers) {
+    server->Register();
+  }
+  record.Line("the servers have written their rows again, version " +
+              std::to_string(store.version()));
 }
 
 int Run(const ScenarioOptions& options) {
@@ -115,61 +180,78 @@
   deployment.program = options.gateway;
   deployment.folder = options.folder;
   deployment.machines = kMachines;
-  deployment.first_port = FindFreePorts(kPortsPerMachine + 2 + kDecodeServers);
-  auto port = static_cast<uint16_t>(deployment.first_port + kPortsPerMachine);
-  deployment.store = std::string(kStoreIp) + ":" + std::to_string(port);
-  Store store(kStoreIp, port);
-  store.Put("op", "config", AssistantConfig(/*resumable=*/true));
-  std::vector<std::unique_ptr<Backend>> servers;
-  auto add_server = [&](const std::string& id, const std::string& stage) {
+  deployment.first_port =
+      FindFreePorts(kPortsPerMachine + 1 + kServers + kNewServers);
+  auto store_port =
+      static_cast<uint16_t>(deployment.first_port + kPortsPerMachine);
+  deployment.store = std::string(kStoreIp) + ":" + std::to_string(store_port);
+  Store store(kStoreIp, store_port);
+  store.Put("op", "config", BookingsConfig());
+  std::vector<std::unique_ptr<RegisteredServer>> servers;
+  auto add_server = [&] {
+    auto number = static_cast<int>(servers.size());
+    BackendOptions server =
+        ServerOptions(number, static_cast<uint16_t>(store_port + 1 + number));
     servers.push_back(
-        std::make_unique<Backend>(ServerOptions(id, stage, ++port), record));
-    store.Put("servers", id, ServerRow(servers.back()->options(), "ready", 1));
+        std::make_unique<RegisteredServer>(server, store, record));
+    record.Line("server " + server.id + " has registered, version " +
+                std::to_string(store.version()));
   };
-  add_server("i-prefill-1", "prefill");
-  std::atomic<int> streams = 0;
-  for (int number = 1; number <= kDecodeServers; ++number) {
-    std::string id = "i-decode-" + std::to_string(number);
-    add_server(id, "decode");
-    bool faulty = options.trouble && number == 1;
-    servers.back()->SetStreamWriter(
-        [&record, &streams, id, faulty](Tcp::socket& socket,
-                                        const std::string& head, int first) {
-          bool cut = faulty && ++streams % kCutInterval == 0;
-          if (cut) {
-            record.Line("server " + id + " stops in the middle of event " +
-                        std::to_string(kCutAtEvent));
-          }
-          return WriteStream(socket, head, first, cut);
-        });
+  for (int number = 0; number < kServers; ++number) {
+    add_server();
   }
   auto gateways = StartGateways(deployment);
-  std::this_thread::sleep_for(std::chrono::seconds(2));
 
   int64_t began = record.Millis();
-  std::vector<std::pair<CallerRequest, std::future<CallerAnswer>>> answers;
-  for (int round = 0; round < kRounds; ++round) {
-    WaitUntil(record, began + round * kRoundMs);
-    for (int machine = 0; machine < kMachines; ++machine) {
-      CallerRequest request = MakeRequest(machine, round);
-      answers.emplace_back(
-          request, std::async(std::launch::async, [&, machine, request] {
-            return Call(Deployment::IpOf(machine), deployment.PortOf(kFront),
-                        request);
-          }));
+  WaitUntil(record, began + 1000);
+  for (int machine = 0; machine < kMachines; ++machine) {
+    auto answer =
+        SendRequest(deployment, machine,
+                    "req-before-" + std::to_string(machine + 1), record);
+    if (answer.get().status != 200) {
+      record.Line("a request before the disruption was not served");
+      return kCouldNotRun;
     }
   }
-  bool held = true;
-  bool served = true;
-  for (auto& [request, answer] : answers) {
-    CallerAnswer got = answer.get();
-    held = Check(request, got, record) && held;
-    served = served && got.complete;
+  WaitUntil(record, began + kFirstReplacementAtMs);
+  add_server();
+  WaitUntil(record, began + kDrillAtMs);
+  if (options.trouble) {
+    Drill(store, servers, began + kDrillAtMs + kAwayMs, record);
+  }
+  WaitUntil(record, began + kLeaveAtMs);
+  add_server();
+  servers[kLeaving]->Leave();
+  size_t runs_before = servers[kLeaving]->backend().Runs().size();
+
+  std::vector<std::future<CallerAnswer>> answers;
+  for (int round = 0; round < kRounds; ++round) {
+    WaitUntil(record, began + kFirstRoundAtMs + round * kRoundMs);
+    for (int i = 0; i < kMachines * kRequestsInRound; ++i) {
+      std::string id =
+          "req-" + std::to_string(round + 1) + "-" + std::to_string(i + 1);
+      answers.push_back(SendRequest(deployment, i % kMachines, id, record));
+    }
+    if (round == 0) {
+      WaitUntil(record, began + kExitAtMs);
+      servers[kLeaving]->Exit();
+    }
   }
-  if (!options.trouble && !served) {
-    record.Line("without the disruption, a request was not served");
-    return kCouldNotRun;
+  int lost = 0;
+  for (auto& answer : answers) {
+    lost += answer.get().status == 200 ? 0 : 1;
   }
+  // All of them were sent later than kDrainMs after the leave was accepted.
+  size_t late_runs = servers[kLeaving]->backend().Runs().size() - runs_before;
+  record.Line(std::to_string(late_runs) +
+              " requests reached the server that leaves later than DrainMs "
+              "after the store had accepted that; " +
+              std::to_string(lost) + " of " + std::to_string(answers.size()) +
+              " were not served");
+  record.Line("the server that registered at that time has run " +
+              std::to_string(servers.back()->backend().Runs().size()) +
+              " requests");
+  bool held = late_runs == 0;
   record.Line(held ? "the rule held" : "the rule was broken");
   return held ? kHeld : kBroken;
 }
--- a/review/standins-3/backend.cc
+++ b/review/standins-3/backend.cc
@@ -146,11 +146,13 @@
 bool Backend::AnswerPlain(Tcp::socket& socket, const Request& request) {
   std::string id = HeaderOf(request, "X-Mangoyoke-Request-Id");
   RecordRun(id, "");
+  std::string headers =
+      HeadersFor(request) + "X-Mangoyoke-Response-Stamp: stamp." + id + "\r\n";
+  if (plain_writer_) {
+    return plain_writer_(socket, headers, id);
+  }
   SleepMillis(options_.work_ms);
-  return WriteAnswer(
-      socket, "200 OK",
-      HeadersFor(request) + "X-Mangoyoke-Response-Stamp: stamp." + id + "\r\n",
-      std::string(800, 'b'));
+  return WriteAnswer(socket, "200 OK", headers, std::string(800, 'b'));
 }
 
 bool Backend::AnswerPrefill(Tcp::socket& socket, const Request& request) {
--- a/review/standins-3/backend.h
+++ b/review/standins-3/backend.h
@@ -54,6 +54,10 @@
   std::vector<std::string> Runs();
   // From now on all answers say that the server leaves.
   void SetLeaving() { leaving_ = true; }
+  // Replaces the answer of a server of a plain service to the request `id`.
+  using PlainWriter = std::function<
+      bool(Tcp::socket&, const std::string& headers, const std::string& id)>;
+  void SetPlainWriter(PlainWriter writer) { plain_writer_ = std::move(writer); }
   // Called before each run, and before each prefill. If it returns false the
   // connection is closed and the request isn't run.
   using RunHook = std::function<bool(const Request&)>;
@@ -87,6 +91,7 @@
   std::mutex mutex_;
   std::vector<std::string> runs_;  // Guarded by mutex_.
   StreamWriter writer_;
+  PlainWriter plain_writer_;
   RunHook run_hook_;
   std::unique_ptr<HttpServer> server_;
 };
