--- a/review/standins-3/caller.cc
+++ b/review/standins-3/caller.cc
@@ -63,6 +63,9 @@
     answer.status = static_cast<int>(head.result_int());
     answer.stamp = FieldOf(head, "X-Mangoyoke-Response-Stamp");
     answer.served_by = FieldOf(head, "X-Mangoyoke-Served-By");
+    if (std::string seconds = FieldOf(head, "Retry-After"); !seconds.empty()) {
+      answer.retry_after_ms = static_cast<int64_t>(1000 * std::stod(seconds));
+    }
     answer.body = head.body();
     answer.complete = parser.is_done();
   }
--- a/review/standins-3/caller.h
+++ b/review/standins-3/caller.h
@@ -25,6 +25,7 @@
   std::string body;       // What arrived of it.
   std::string stamp;      // The server's signature; empty if there is none.
   std::string served_by;  // The id of the server; empty if it names none.
+  int64_t retry_after_ms = 0;  // When to come back, if it says so.
   int64_t elapsed_ms = 0;
 };
 
--- a/review/standins-3/scenario.h
+++ b/review/standins-3/scenario.h
@@ -7,6 +7,8 @@
 #ifndef MANGOYOKE_REVIEW_STANDINS_3_SCENARIO_H_
 #define MANGOYOKE_REVIEW_STANDINS_3_SCENARIO_H_
 
+#include <algorithm>
+#include <chrono>
 #include <cstdlib>
 #include <exception>
 #include <functional>
