--- a/review/standins-3/gateway_process.cc
+++ b/review/standins-3/gateway_process.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 #include <thread>
 
@@ -22,13 +23,21 @@
 constexpr int kReadyTries = 400;
 constexpr std::chrono::milliseconds kReadyInterval(50);
 
+// The addresses that the cases use.
+constexpr const char* kAddresses[] = {"127.0.0.11", "127.0.0.12", "127.0.0.21",
+                                      "127.0.0.22", "127.0.0.23"};
+
 bool IsFree(uint16_t port) {
-  boost::asio::io_context io;
-  Tcp::acceptor acceptor(io);
-  boost::system::error_code error;
-  acceptor.open(Tcp::v4(), error);
-  acceptor.bind(Tcp::endpoint(boost::asio::ip::address_v4::any(), port), error);
-  return !error;
+  return std::all_of(
+      std::begin(kAddresses), std::end(kAddresses), [port](const char* ip) {
+        boost::asio::io_context io;
+        Tcp::acceptor acceptor(io);
+        boost::system::error_code error;
+        acceptor.open(Tcp::v4(), error);
+        acceptor.bind(Tcp::endpoint(boost::asio::ip::make_address(ip), port),
+                      error);
+        return !error;
+      });
 }
 
 }  // namespace
--- a/review/standins-3/gateway_process.h
+++ b/review/standins-3/gateway_process.h
@@ -35,8 +35,8 @@
   }
 };
 
-// The first of `count` ports that are free on all loopback addresses. Throws
-// std::runtime_error if there are none.
+// The first of `count` ports that are free on the addresses of the cases.
+// Throws std::runtime_error if there are none.
 uint16_t FindFreePorts(int count);
 
 // Writes the settings of machine `i` and starts its gateway.
